--- /dev/null
+++ b/cmd/dahliaford/config.go
@@ -0,0 +1,108 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+
+	"github.com/mailru/easyjson/jlexer"
+
+	"dahliaford/internal/node"
+	"dahliaford/internal/settings"
+)
+
+// configuration reads the file that BALANCER_CONFIG names. The other variables,
+// where set, go before it.
+func configuration(env func(string) string) (node.Config, error) {
+	path := env("BALANCER_CONFIG")
+	if path == "" {
+		return node.Config{}, errors.New("BALANCER_CONFIG names no file")
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return node.Config{}, fmt.Errorf("configuration: %w", err)
+	}
+	cfg, err := parse(raw)
+	if err != nil {
+		return cfg, fmt.Errorf("configuration %s: %w", path, err)
+	}
+	for name, field := range map[string]*string{
+		"BALANCER_NAME": &cfg.Name, "BALANCER_LISTEN": &cfg.Listen, "BALANCER_DISCOVERY": &cfg.Discovery,
+	} {
+		if value := env(name); value != "" {
+			*field = value
+		}
+	}
+	switch {
+	case cfg.Listen == "":
+		err = fmt.Errorf("configuration %s: no listen address", path)
+	case cfg.Discovery == "":
+		err = fmt.Errorf("configuration %s: no discovery address", path)
+	}
+	return cfg, err
+}
+
+func parse(raw []byte) (cfg node.Config, err error) {
+	var known, set []byte
+	var seed string
+	in := jlexer.Lexer{Data: raw}
+	in.Delim('{')
+	for !in.IsDelim('}') && in.Error() == nil {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		switch key {
+		case "name":
+			cfg.Name = in.String()
+		case "listen":
+			cfg.Listen = in.String()
+		case "discovery":
+			cfg.Discovery = in.String()
+		case "seed":
+			seed = in.String()
+		case "limits":
+			cfg.Sockets = sockets(&in)
+		case "known":
+			known = in.Raw()
+		case "settings":
+			set = in.Raw()
+		default:
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	in.Consumed()
+	if err := in.Error(); err != nil {
+		return cfg, err
+	}
+	if cfg.Seed, err = strconv.ParseUint(seed, 16, 64); err != nil && seed != "" {
+		return cfg, fmt.Errorf("seed %q is not a hexadecimal number", seed)
+	}
+	if len(known) > 0 {
+		if cfg.Known, err = node.DecodeTable(known); err != nil {
+			return cfg, fmt.Errorf("known: %w", err)
+		}
+	}
+	if len(set) == 0 {
+		return cfg, errors.New("no settings")
+	}
+	cfg.Settings, err = settings.Parse(set)
+	return cfg, err
+}
+
+func sockets(in *jlexer.Lexer) (n int) {
+	in.Delim('{')
+	for !in.IsDelim('}') && in.Error() == nil {
+		key := in.UnsafeFieldName(false)
+		in.WantColon()
+		if key == "sockets" {
+			n = in.Int()
+		} else {
+			in.SkipRecursive()
+		}
+		in.WantComma()
+	}
+	in.Delim('}')
+	return n
+}
--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -7,7 +7,7 @@
 	"runtime"
 	"runtime/debug"
 
-	"rosehub/internal/wire"
+	"dahliaford/internal/wire"
 )
 
 // gcPercent trades memory, of which little is used, for time.
--- /dev/null
+++ b/internal/node/client.go
@@ -0,0 +1,270 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"dahliaford/internal/http1"
+	"dahliaford/internal/scheduler"
+)
+
+const (
+	healthPath   = "/_health"
+	callbackPath = "/callback"
+
+	// readWithin is the longest that a request may take from its first byte on.
+	readWithin = 10 * time.Second
+	// writeSlack is how long after a deadline an answer is still being written.
+	writeSlack = time.Second
+)
+
+// Messages of client connections to the loop.
+type (
+	opened     struct{ client *client }
+	closed     struct{ client *client }
+	submission struct {
+		client *client
+		scheduler.Submitted
+	}
+	crowded struct{}
+)
+
+// payload is what of a client's request goes on to a region, unchanged.
+type payload struct {
+	method, target, key string
+	body                []byte
+}
+
+var lastCaller atomic.Uint64
+
+// client is one connection that was accepted. Its goroutine, serve, owns it and
+// closes it; release asks for that.
+type client struct {
+	node    *Node
+	conn    net.Conn
+	read    *http1.Reader
+	answers chan scheduler.Answer
+	ctx     context.Context // ends when the connection should close once it idles
+	release context.CancelFunc
+	idle    atomic.Int64 // since when no request is under way; 0: one is
+	fresh   bool         // no request has come yet
+}
+
+func newClient(n *Node, conn net.Conn) *client {
+	c := &client{node: n, conn: conn, read: http1.NewReader(conn), answers: make(chan scheduler.Answer, 1), fresh: true}
+	c.ctx, c.release = context.WithCancel(n.ctx)
+	c.idle.Store(int64(n.now()))
+	return c
+}
+
+func (c *client) serve() {
+	n := c.node
+	defer func() {
+		c.release()
+		c.conn.Close()
+		<-n.slots
+		n.post(closed{c})
+	}()
+	for next := c.begin(); ; {
+		// Idle: the next request begins, or the other side or we have had enough.
+		select {
+		case err := <-next:
+			if err != nil {
+				return
+			}
+		case <-c.ctx.Done():
+			return
+		}
+		c.idle.Store(0)
+		var goOn bool
+		if next, goOn = c.one(); !goOn {
+			return
+		}
+		c.fresh = false
+		c.idle.Store(int64(n.now()))
+	}
+}
+
+// begin waits on the side for the next bytes to come, which also shows when the
+// client leaves. Nobody else may read until its word has been taken.
+func (c *client) begin() <-chan error {
+	next := make(chan error, 1)
+	c.node.spawn(func() { next <- c.read.Wait() })
+	return next
+}
+
+// one reads a request and answers it. It returns the wait for the next one.
+func (c *client) one() (next <-chan error, goOn bool) {
+	n := c.node
+	c.conn.SetReadDeadline(time.Now().Add(readWithin))
+	r, err := c.read.Request()
+	at := n.now()
+	c.conn.SetReadDeadline(time.Time{})
+	if err != nil {
+		var wrong *http1.Error
+		if errors.As(err, &wrong) {
+			n.log.Warn("bad request", "from", c.conn.RemoteAddr().String(), "why", wrong.Text)
+			c.write(at, wrong.Status, true, "", []byte(wrong.Text+"\n"))
+			c.linger()
+		} else if errors.Is(err, io.ErrUnexpectedEOF) {
+			n.log.Warn("request broke off", "from", c.conn.RemoteAddr().String())
+		}
+		return nil, false
+	}
+	path, _, _ := strings.Cut(r.Target, "?")
+	switch {
+	case path == healthPath:
+		status := 200
+		if r.Method != "GET" && r.Method != "HEAD" {
+			status = 405
+		}
+		goOn = c.write(at, status, r.Close, "", nil)
+	case r.Method != "POST":
+		goOn = c.bad(at, r, 405, "jobs come by POST")
+	case path == callbackPath:
+		told, err := decodeTold(r.Body)
+		if err != nil {
+			goOn = c.bad(at, r, 400, "callback: "+err.Error())
+			break
+		}
+		// The answer waits for nothing: the region needs none of what follows.
+		goOn = c.write(at, 204, r.Close, "", nil)
+		n.post(told)
+	default:
+		return c.submit(at, r)
+	}
+	if !goOn {
+		return nil, false
+	}
+	return c.begin(), true
+}
+
+func (c *client) bad(at scheduler.Micros, r *http1.Request, status int, why string) bool {
+	c.node.log.Warn("bad request", "from", c.conn.RemoteAddr().String(), "txn", r.Header.Get("X-Txn"), "why", why)
+	return c.write(at, status, r.Close, "", []byte(why+"\n"))
+}
+
+// submit hands a transaction over and waits for its answer or the client's leave.
+func (c *client) submit(at scheduler.Micros, r *http1.Request) (next <-chan error, goOn bool) {
+	n := c.node
+	id, left := r.Header.Get("X-Txn"), r.Header.Get("X-Remaining-Ms")
+	ms, err := strconv.ParseInt(left, 10, 64)
+	why := ""
+	switch {
+	case id == "":
+		why = "no X-Txn"
+	case left == "":
+		why = "no X-Remaining-Ms"
+	case err != nil || ms < 0:
+		why = "malformed X-Remaining-Ms"
+	}
+	if why != "" {
+		if !c.bad(at, r, 400, why) {
+			return nil, false
+		}
+		return c.begin(), true
+	}
+	// The last slots are for callbacks: without them nothing that runs would end.
+	if c.fresh && len(n.slots) > cap(n.slots)-n.reserve {
+		n.log.Warn("short on connections: a newcomer's job is refused", "txn", id)
+		c.write(at, 503, true, retryAfter(0), nil)
+		return nil, false
+	}
+	const mostMs = 1 << 40 // keeps the sum from running over
+	s := scheduler.Submitted{Caller: scheduler.Caller(lastCaller.Add(1)), ID: id,
+		Class: class(r), Tenant: r.Header.Get("X-Org"), Deadline: at + scheduler.Micros(min(ms, mostMs))*1000,
+		Slots: slotsOf(r.Header.Get("X-Labels")), Payload: &payload{method: r.Method, target: r.Target,
+			key: r.Header.Get("Idempotency-Key"), body: r.Body}}
+	n.post(submission{c, s})
+	next = c.begin()
+	var answer scheduler.Answer
+	early := next
+	for answered := false; !answered; {
+		select {
+		case answer = <-c.answers:
+			answered = true
+		case err := <-early:
+			if err != nil {
+				n.post(scheduler.CallerLeft{Caller: s.Caller})
+				return nil, false
+			}
+			// The next request came before this one's answer: it waits its turn.
+			ready := make(chan error, 1)
+			ready <- nil
+			early, next = nil, ready
+		case <-n.ctx.Done():
+			return nil, false
+		}
+	}
+	last := r.Close || answer.Last || c.ctx.Err() != nil || len(n.slots) == cap(n.slots)
+	return next, c.write(s.Deadline, statuses[answer.Verdict], last, advice(answer), answer.Body)
+}
+
+var statuses = map[scheduler.Verdict]int{
+	scheduler.Served: 200, scheduler.Refused: 503, scheduler.Failed: 500, scheduler.Invalid: 400,
+	scheduler.Conflict: 409,
+}
+
+// class is the class that a request names: in its header, or else in its path.
+func class(r *http1.Request) string {
+	if name := r.Header.Get("X-Lane"); name != "" {
+		return name
+	}
+	name, _, _ := strings.Cut(strings.TrimPrefix(r.Target, "/"), "/")
+	name, _, _ = strings.Cut(name, "?")
+	return name
+}
+
+// slotsOf reads how many slots (or memory units, if more) a request's labels say.
+func slotsOf(labels string) float64 {
+	most := 1.0
+	for label := range strings.SplitSeq(labels, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(label), "=")
+		if v, err := strconv.ParseFloat(value, 64); err == nil && (name == "slots" || name == "memory") {
+			most = max(most, v)
+		}
+	}
+	return most
+}
+
+// advice is when a client that is refused should come back.
+func advice(a scheduler.Answer) string {
+	if a.Verdict != scheduler.Refused {
+		return ""
+	}
+	return retryAfter(a.Wait)
+}
+
+func retryAfter(wait scheduler.Micros) string {
+	return strconv.FormatFloat(float64(wait)/1e6, 'f', -1, 64)
+}
+
+// write sends an answer in one piece. It tells whether the connection can go on.
+func (c *client) write(deadline scheduler.Micros, status int, last bool, retryAfter string, body []byte) bool {
+	connection := ""
+	if last {
+		connection = "close"
+	}
+	b := http1.AppendResponse(make([]byte, 0, 256+len(body)), status,
+		[]http1.Field{{Name: "Retry-After", Value: retryAfter}, {Name: "Connection", Value: connection}}, body)
+	c.conn.SetWriteDeadline(c.node.at(deadline).Add(writeSlack))
+	_, err := c.conn.Write(b)
+	return err == nil && !last
+}
+
+// linger reads on for a moment after an answer to a request that was not read whole.
+// Closing at once would reset the connection, and the answer might never be seen.
+func (c *client) linger() {
+	if half, ok := c.conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
+		c.conn.SetReadDeadline(time.Now().Add(writeSlack))
+		io.Copy(io.Discard, io.LimitReader(c.conn, 4*http1.MaxBody))
+	}
+}
+
+func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,317 @@
+// Package node carries out the effects that the scheduler asks for, on sockets: it
+// owns the client listener, the connections to regions, the discovery watch and the
+// timer, and runs the one loop that feeds the scheduler.
+package node
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"dahliaford/internal/scheduler"
+	"dahliaford/internal/settings"
+)
+
+// Config is what a node is told at its start.
+type Config struct {
+	Name      string
+	Listen    string
+	Discovery string
+	Seed      uint64
+	Sockets   int // descriptors that the process may hold
+	Known     scheduler.Table
+	Settings  settings.Settings
+}
+
+// How the descriptors are dealt out.
+const (
+	spareSockets   = 32 // standard streams, poller, listener, discovery, log
+	regionPart     = 4  // one in so many is for connections to regions
+	callbackPart   = 8  // one in so many of the rest is kept from those who submit
+	leastSockets   = 64
+	defaultSockets = 1024
+)
+
+const (
+	inboxSize = 1024
+	lastWords = 500 * time.Millisecond // from Exit on, to write out what was answered
+)
+
+// Node is one scheduler on sockets. Everything below its inbox belongs to the loop.
+type Node struct {
+	cfg      Config
+	log      *slog.Logger
+	listener net.Listener
+	inbox    chan any // scheduler.Event or a message of this package
+	start    time.Time
+	epoch    scheduler.Micros
+
+	ctx      context.Context // ends with the loop
+	end      context.CancelFunc
+	work     sync.WaitGroup // connections and their goroutines
+	sched    *scheduler.Scheduler
+	effects  []scheduler.Effect
+	timer    *time.Timer
+	watch    context.CancelFunc // ends the present watch
+	watches  int                // numbers them
+	clients  map[*client]bool
+	callers  map[scheduler.Caller]*client
+	links    map[string][]*link // by address; idle ones are used latest first
+	tasks    map[scheduler.Task]*link
+	open     int // links
+	mostOpen int
+	slots    chan struct{} // one taken for each client connection
+	reserve  int           // slots that callbacks alone may take
+	panics   int
+	exiting  bool
+}
+
+// Listen opens the client address. Nothing is accepted until Run.
+func Listen(cfg Config, log *slog.Logger) (*Node, error) {
+	sched, err := scheduler.New(cfg.Settings, cfg.Seed)
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, err
+	}
+	if cfg.Sockets <= 0 {
+		cfg.Sockets = defaultSockets
+	}
+	usable := max(cfg.Sockets, leastSockets) - spareSockets
+	n := &Node{cfg: cfg, log: log, listener: listener, inbox: make(chan any, inboxSize), start: time.Now(),
+		sched: sched, clients: map[*client]bool{}, callers: map[scheduler.Caller]*client{},
+		links: map[string][]*link{}, tasks: map[scheduler.Task]*link{}, mostOpen: usable / regionPart}
+	n.epoch = scheduler.Micros(n.start.UnixMicro())
+	most := usable - n.mostOpen
+	n.slots, n.reserve = make(chan struct{}, most), most/callbackPart
+	n.ctx, n.end = context.WithCancel(context.Background())
+	return n, nil
+}
+
+// Addr is the address that clients and regions reach.
+func (n *Node) Addr() net.Addr { return n.listener.Addr() }
+
+// now is the time on the scheduler's clock: the Unix time, but it never jumps.
+func (n *Node) now() scheduler.Micros {
+	return n.epoch + scheduler.Micros(time.Since(n.start).Microseconds())
+}
+
+// at is a time on the scheduler's clock as the network wants it.
+func (n *Node) at(t scheduler.Micros) time.Time {
+	return n.start.Add(time.Duration(t-n.epoch) * time.Microsecond)
+}
+
+// post hands a message to the loop. It gives up only once the loop has ended.
+func (n *Node) post(m any) {
+	select {
+	case n.inbox <- m:
+	case <-n.ctx.Done():
+	}
+}
+
+// Stop asks for an orderly end.
+func (n *Node) Stop() { n.post(scheduler.Stopping{}) }
+
+// Run serves until an orderly end, or until the scheduler is beyond repair.
+func (n *Node) Run() error {
+	n.timer = time.NewTimer(time.Hour)
+	defer n.timer.Stop()
+	defer n.close()
+	err := n.step(scheduler.Began{Known: n.cfg.Known})
+	n.log.Info("serving", "name", n.cfg.Name, "listen", n.Addr().String(), "discovery", n.cfg.Discovery,
+		"regions", len(n.cfg.Known.Regions))
+	n.spawn(n.accept)
+	for err == nil && !n.exiting {
+		select {
+		case m := <-n.inbox:
+			err = n.handle(m)
+		case <-n.timer.C:
+			err = n.step(scheduler.Woke{})
+		}
+	}
+	return err
+}
+
+// spawn runs a goroutine that the node waits for at its end. A panic in it costs
+// what that goroutine serves, not the process.
+func (n *Node) spawn(f func()) {
+	n.work.Add(1)
+	go func() {
+		defer n.work.Done()
+		defer n.caught("a connection broke down")
+		f()
+	}()
+}
+
+func (n *Node) caught(what string) {
+	if cause := recover(); cause != nil {
+		n.log.Error(what, "panic", fmt.Sprint(cause), "stack", string(debug.Stack()))
+	}
+}
+
+// close gives everything back: the listener, the watch, and the connections, which
+// first get a moment to write what was answered.
+func (n *Node) close() {
+	n.listener.Close()
+	written := make(chan struct{})
+	go func() {
+		n.work.Wait()
+		close(written)
+	}()
+	for c := range n.clients {
+		c.release()
+	}
+	select {
+	case <-written:
+	case <-time.After(lastWords):
+	}
+	n.end()
+	n.log.Info("stopped")
+}
+
+func (n *Node) handle(m any) error {
+	switch m := m.(type) {
+	case opened:
+		n.clients[m.client] = true
+	case submission:
+		n.callers[m.Caller] = m.client
+		return n.step(m.Submitted)
+	case closed:
+		delete(n.clients, m.client)
+	case crowded:
+		n.makeRoom()
+	case wrote:
+		return n.linkWrote(m)
+	case response:
+		return n.linkAnswered(m)
+	case broke:
+		return n.linkBroke(m.link)
+	case ended:
+		n.open--
+	case tableWord:
+		if m.watch == n.watches {
+			return n.step(m.event)
+		}
+	case scheduler.Event:
+		return n.step(m)
+	}
+	return nil
+}
+
+// step passes one event to the scheduler and carries its effects out. After a panic
+// the scheduler is mended once; a second one soon after ends the program.
+func (n *Node) step(e scheduler.Event) error {
+	broken := n.reduce(e)
+	if broken {
+		if n.panics++; n.panics > mostPanics {
+			return fmt.Errorf("the decision module keeps breaking down")
+		}
+		var err error
+		if n.effects, err = n.sched.Recover(n.now()); err != nil {
+			return err
+		}
+	}
+	for _, effect := range n.effects {
+		n.carryOut(effect)
+	}
+	return nil
+}
+
+const mostPanics = 10
+
+func (n *Node) reduce(e scheduler.Event) (broken bool) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			broken = true
+			n.log.Error("the decision module broke down: open transactions fail", "panic", fmt.Sprint(cause),
+				"event", fmt.Sprintf("%T", e), "open", n.sched.Open(), "stack", string(debug.Stack()))
+		}
+	}()
+	n.effects = n.sched.Step(n.now(), e, n.effects[:0])
+	return false
+}
+
+// carryOut does one effect. Whatever fails here comes back as an event; an answer
+// never hangs on it.
+func (n *Node) carryOut(e scheduler.Effect) {
+	switch e := e.(type) {
+	case scheduler.Route:
+		n.route(e)
+	case scheduler.Abandon:
+		n.abandon(e.Task)
+	case scheduler.Withdraw:
+		n.withdraw(e)
+	case scheduler.Answer:
+		if c := n.callers[e.Caller]; c != nil {
+			delete(n.callers, e.Caller)
+			c.answers <- e // it has room for the one answer that a caller gets
+		}
+	case scheduler.Wake:
+		n.timer.Reset(time.Until(n.at(e.At)))
+	case scheduler.Watch:
+		n.openWatch(e.Rev)
+	case scheduler.Retire:
+		n.retire(e.Addr)
+	case scheduler.Close:
+		for c := range n.clients {
+			c.release()
+		}
+	case scheduler.Exit:
+		n.exiting = true
+	case scheduler.Log:
+		n.log.Info(e.Text, e.Args...)
+	}
+}
+
+// makeRoom closes the client connection that has idled longest.
+func (n *Node) makeRoom() {
+	var oldest *client
+	for c := range n.clients {
+		if at := c.idle.Load(); at != 0 && (oldest == nil || at < oldest.idle.Load()) {
+			oldest = c
+		}
+	}
+	if oldest != nil {
+		oldest.release()
+	}
+}
+
+// pauseAfterAcceptError bounds the pace of failing accepts, when descriptors run out.
+const pauseAfterAcceptError = 20 * time.Millisecond
+
+func (n *Node) accept() {
+	for {
+		select {
+		case n.slots <- struct{}{}:
+		default:
+			// All descriptors for clients are in use: ask for one that idles, and
+			// leave newcomers in the listener's queue until there is room.
+			n.post(crowded{})
+			select {
+			case n.slots <- struct{}{}:
+			case <-n.ctx.Done():
+				return
+			}
+		}
+		conn, err := n.listener.Accept()
+		if err != nil {
+			<-n.slots
+			if n.ctx.Err() != nil || isClosed(err) {
+				return
+			}
+			n.log.Warn("cannot accept", "error", err)
+			n.post(crowded{})
+			time.Sleep(pauseAfterAcceptError)
+			continue
+		}
+		c := newClient(n, conn)
+		n.post(opened{c})
+		n.spawn(c.serve)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/events.go
@@ -0,0 +1,173 @@
+// Package scheduler keeps the transactions, the routed tasks and the service table,
+// and drives the decision module. It is one reducer: an event at a time goes in,
+// effects come out. It holds no lock and no clock and does no reading or writing, and
+// knows nothing of the protocol that a transaction came by.
+package scheduler
+
+import "dahliaford"
+
+// Micros is a time on the module's clock. Here it counts from the Unix epoch, so a
+// region's start as discovery tells it needs no mapping beyond its unit.
+type Micros = dahliaford.Micros
+
+// Caller numbers a wait for one answer; whoever submits a transaction picks it.
+type Caller uint64
+
+// Task numbers a routed task.
+type Task uint64
+
+// Event is one thing that happened.
+type Event interface{ event() }
+
+// The events.
+type (
+	// Began comes once, before all others.
+	Began struct{ Known Table }
+	// Submitted is a new transaction.
+	Submitted struct {
+		Caller        Caller
+		ID            string // by which the regions know it
+		Class, Tenant string
+		Deadline      Micros // the caller waits until then
+		Slots         float64
+		Payload       any // handed back with each routed task, unread
+	}
+	// CallerLeft says that nobody waits for the answer any more.
+	CallerLeft struct{ Caller Caller }
+	// Accepted says that a region has taken a routed task.
+	Accepted struct{ Task Task }
+	// Ended says how a routed task ended, by what its connection showed.
+	Ended struct {
+		Task    Task
+		Outcome dahliaford.Outcome
+		Report  dahliaford.Report
+	}
+	// Told is what a region says of a transaction on its own account. It may come
+	// early, late, or again.
+	Told struct {
+		ID, From string
+		News     News
+		Share    float64
+		Result   []byte
+		Report   dahliaford.Report
+	}
+	// TableRead is a word from discovery; one without regions is a heartbeat.
+	TableRead struct{ Table Table }
+	// TableLost says that the watch could not be opened, or ended.
+	TableLost struct{}
+	// Woke says that the time of the last Wake has come.
+	Woke struct{}
+	// Stopping asks for an orderly end.
+	Stopping struct{}
+)
+
+func (Began) event()      {}
+func (Submitted) event()  {}
+func (CallerLeft) event() {}
+func (Accepted) event()   {}
+func (Ended) event()      {}
+func (Told) event()       {}
+func (TableRead) event()  {}
+func (TableLost) event()  {}
+func (Woke) event()       {}
+func (Stopping) event()   {}
+
+// News is what a region tells.
+type News uint8
+
+// The news a region can tell.
+const (
+	NewsUnknown News = iota
+	NewsStarted
+	NewsRunning
+	NewsDone
+	NewsFailed
+	NewsReturned // handed back unstarted
+	NewsLost
+)
+
+// Table is the service table or a change to it.
+type Table struct {
+	Rev     int64
+	All     bool // the whole table; what it lacks is gone
+	Regions []Region
+}
+
+// Region is one line of the service table.
+type Region struct {
+	UID, Addr, Zone, Kind string
+	Cell                  int
+	Status                dahliaford.Status
+	Started               Micros // 0: long ago
+}
+
+// Effect is one thing to carry out.
+type Effect interface{ effect() }
+
+// The effects.
+type (
+	// Route sends a routed task to a region.
+	Route struct {
+		Task     Task
+		ID       string
+		UID      string
+		Addr     string
+		WriteBy  Micros // its last byte must be out by then, or it does not go
+		Deadline Micros // the region may work on it until then
+		Payload  any
+	}
+	// Abandon breaks the connection of a routed task that no region has accepted.
+	Abandon struct{ Task Task }
+	// Withdraw tells a region to drop a transaction that it has accepted.
+	Withdraw struct {
+		ID       string
+		Addr     string
+		Deadline Micros // no use after that
+	}
+	// Answer is the one answer to a caller.
+	Answer struct {
+		Caller  Caller
+		Verdict Verdict
+		Body    []byte
+		Wait    Micros // with Refused: come back after this
+		Last    bool   // the scheduler is stopping: nothing more from this caller
+	}
+	// Wake asks for Woke at a time. The latest one counts.
+	Wake struct{ At Micros }
+	// Watch opens a watch of the service table; an older one is dropped.
+	Watch struct{ Rev int64 }
+	// Retire closes idle connections to a region that left.
+	Retire struct{ Addr string }
+	// Close lets callers go that have nothing submitted.
+	Close struct{}
+	// Exit ends the program: nothing is owed any more.
+	Exit struct{}
+	// Log is a line for the log.
+	Log struct {
+		Text string
+		Args []any
+	}
+)
+
+func (Route) effect()    {}
+func (Abandon) effect()  {}
+func (Withdraw) effect() {}
+func (Answer) effect()   {}
+func (Wake) effect()     {}
+func (Watch) effect()    {}
+func (Retire) effect()   {}
+func (Close) effect()    {}
+func (Exit) effect()     {}
+func (Log) effect()      {}
+
+// Verdict is the kind of an answer.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Served  Verdict = iota
+	Refused         // a short-on-capacity reply: trying again is harmless
+	Failed
+	Invalid  // the submission makes no sense; Body says why
+	Conflict // a transaction of that id is open
+)
--- /dev/null
+++ b/internal/scheduler/scheduler.go
@@ -0,0 +1,539 @@
+package scheduler
+
+import (
+	"container/heap"
+	"fmt"
+	"hash/fnv"
+	"slices"
+
+	"dahliaford"
+	"dahliaford/internal/settings"
+)
+
+const (
+	millisecond = 1000
+	second      = 1000 * millisecond
+
+	// serveOn is how long a stopping scheduler takes new transactions: the front
+	// goes on dealing it connections for a part of that.
+	serveOn = 600 * millisecond
+	// withdrawFor is how long it is tried to reach a region to withdraw a task.
+	withdrawFor = 2 * second
+)
+
+// Scheduler is the state. Step is the only way to change it.
+type Scheduler struct {
+	set    settings.Settings
+	seed   uint64
+	module *dahliaford.Dispatcher
+	now    Micros
+	out    []Effect
+
+	byCaller map[Caller]*transaction
+	byID     map[string]*transaction // open ones, and finished ones with a live task
+	byJob    map[dahliaford.JobID]*transaction
+	byTask   map[Task]*task
+	lastJob  dahliaford.JobID
+	lastTask Task
+
+	regions  map[string]*region
+	byNumber map[dahliaford.WorkerID]*region
+	zones    numbering
+	kinds    numbering
+	rev      int64
+	watching bool // discovery has answered the watch and not ended it
+
+	due      dues
+	wake     Micros // what the last Wake asked for; 0: nothing
+	stopAt   Micros // no new transactions from then on; 0: not stopping
+	stopped  bool
+	feedback []dahliaford.Event // for the module, from what its own actions led to
+	stepping bool
+}
+
+// transaction is a caller's request from its arrival to its answer.
+type transaction struct {
+	caller   Caller
+	id       string
+	job      dahliaford.JobID
+	deadline Micros
+	payload  any
+	answered bool
+	tasks    []*task // all attempts, in order; at most the last one is live
+}
+
+// task is a routed task: one attempt of a transaction at a region.
+type task struct {
+	number   Task
+	of       *transaction
+	attempt  int
+	region   *region
+	deadline Micros
+	accepted bool
+	started  bool
+	ended    bool
+}
+
+type region struct {
+	Region
+	number  dahliaford.WorkerID
+	retired bool // gone, and said so
+}
+
+// numbering gives names their place in a list; unheard-of ones get places behind.
+type numbering []string
+
+func (n *numbering) of(name string) int {
+	i := slices.Index(*n, name)
+	if i < 0 {
+		i = len(*n)
+		*n = append(*n, name)
+	}
+	return i
+}
+
+// New returns a scheduler that has not begun.
+func New(set settings.Settings, seed uint64) (*Scheduler, error) {
+	s := &Scheduler{set: set, seed: seed, byCaller: map[Caller]*transaction{}, byID: map[string]*transaction{},
+		byJob: map[dahliaford.JobID]*transaction{}, byTask: map[Task]*task{}, regions: map[string]*region{},
+		byNumber: map[dahliaford.WorkerID]*region{}, zones: slices.Clone(set.Zones), kinds: slices.Clone(set.Kinds)}
+	var err error
+	s.module, err = dahliaford.New(set.Module, seed)
+	return s, err
+}
+
+// Open is the number of transactions that wait for their answer.
+func (s *Scheduler) Open() int { return len(s.byCaller) }
+
+// Step takes one event at its time and appends the effects that it calls for.
+func (s *Scheduler) Step(now Micros, e Event, out []Effect) []Effect {
+	s.now, s.out = now, out
+	switch e := e.(type) {
+	case Began:
+		s.begin(e.Known)
+	case Submitted:
+		s.submitted(&e)
+	case CallerLeft:
+		if t := s.byCaller[e.Caller]; t != nil {
+			s.settle(t)
+			s.tell(dahliaford.Event{Kind: dahliaford.ClientGone, Job: t.job})
+		}
+	case Accepted:
+		if k := s.byTask[e.Task]; k != nil {
+			k.accepted = true
+		}
+	case Ended:
+		// After the region has accepted, only its own word or the time ends a task.
+		if k := s.byTask[e.Task]; k != nil && !k.accepted {
+			s.end(k, e.Outcome, e.Report)
+		}
+	case Told:
+		s.told(&e)
+	case TableRead:
+		s.tableRead(e.Table)
+	case TableLost:
+		s.watching = false
+		s.tell(dahliaford.Event{Kind: dahliaford.ListChanged, Scope: dahliaford.ListFailed})
+	case Woke:
+		s.wake = 0
+	case Stopping:
+		if s.stopAt == 0 {
+			s.stopAt = now + serveOn
+			heap.Push(&s.due, due{at: s.stopAt})
+		}
+	}
+	s.expire()
+	s.stop()
+	s.arm()
+	return s.out
+}
+
+// Recover starts the decision module anew after a panic in it. What it held is
+// failed aloud, as nobody knows how far it had got, and what is out is called back.
+// Effects of the step that broke off are returned, too: they may hold answers.
+func (s *Scheduler) Recover(now Micros) ([]Effect, error) {
+	s.now, s.feedback, s.stepping, s.wake = now, nil, false, 0
+	for _, t := range sorted(s.byCaller) {
+		s.answer(t, Answer{Verdict: Failed})
+	}
+	for _, k := range sorted(s.byTask) {
+		s.callBack(k)
+		s.forget(k)
+	}
+	clear(s.byID)
+	clear(s.byJob)
+	var err error
+	if s.module, err = dahliaford.New(s.set.Module, s.seed); err != nil {
+		return s.out, err
+	}
+	s.due = slices.DeleteFunc(s.due, func(d due) bool { return d.at != s.stopAt })
+	known := Table{Rev: s.rev, All: true}
+	for _, r := range sorted(s.regions) {
+		known.Regions = append(known.Regions, r.Region)
+	}
+	s.watching = false
+	s.begin(known)
+	s.stop()
+	s.arm()
+	return s.out, nil
+}
+
+func (s *Scheduler) begin(known Table) {
+	s.tell(dahliaford.Event{Kind: dahliaford.Began})
+	s.apply(known, dahliaford.ListCached)
+}
+
+// ---- Transactions
+
+func (s *Scheduler) submitted(e *Submitted) {
+	class := slices.Index(s.set.Classes, e.Class)
+	tenant := slices.Index(s.set.Tenants, e.Tenant)
+	if len(s.set.Tenants) == 0 {
+		tenant = 0
+	}
+	answer := Answer{Caller: e.Caller, Verdict: Invalid, Last: s.stopping()}
+	switch {
+	case class < 0:
+		answer.Body = fmt.Appendf(nil, "unknown class %q", e.Class)
+	case tenant < 0:
+		answer.Body = fmt.Appendf(nil, "unknown tenant %q", e.Tenant)
+	case e.ID == "":
+		answer.Body = []byte("no transaction id")
+	case s.byID[e.ID] != nil:
+		// Callbacks name a transaction by its id alone: two of one id would mix.
+		answer.Verdict, answer.Body = Conflict, []byte("a transaction of that id is open")
+	case s.stopping():
+		s.emit(Answer{Caller: e.Caller, Verdict: Refused, Last: true})
+		return
+	default:
+		s.lastJob++
+		t := &transaction{caller: e.Caller, id: e.ID, job: s.lastJob, deadline: e.Deadline, payload: e.Payload}
+		s.byCaller[e.Caller], s.byID[e.ID], s.byJob[t.job] = t, t, t
+		heap.Push(&s.due, due{at: t.deadline, caller: t.caller})
+		s.tell(dahliaford.Event{Kind: dahliaford.JobArrived, Job: t.job, Class: class, Tenant: tenant,
+			Patience: max(e.Deadline-s.now, 0), Slots: e.Slots})
+		return
+	}
+	s.emit(answer)
+	s.log("submission not taken", "txn", e.ID, "why", string(answer.Body))
+}
+
+// answer gives a transaction its one answer; any further one is dropped here.
+func (s *Scheduler) answer(t *transaction, a Answer) {
+	if t.answered {
+		return
+	}
+	a.Caller, a.Last = t.caller, s.stopping()
+	s.emit(a)
+	s.settle(t)
+}
+
+// settle marks that a transaction owes no answer. Its id is kept while a task of it
+// is out, so that its news finds it.
+func (s *Scheduler) settle(t *transaction) {
+	t.answered = true
+	delete(s.byCaller, t.caller)
+	if n := len(t.tasks); n == 0 || t.tasks[n-1].ended {
+		s.release(t)
+	}
+}
+
+func (s *Scheduler) release(t *transaction) {
+	delete(s.byJob, t.job)
+	if s.byID[t.id] == t {
+		delete(s.byID, t.id)
+	}
+}
+
+// ---- Routed tasks
+
+func (s *Scheduler) told(e *Told) {
+	t := s.byID[e.ID]
+	if t == nil || len(t.tasks) == 0 {
+		return // late, or a repeat: its task is over
+	}
+	k := t.tasks[len(t.tasks)-1]
+	if k.ended || k.region.UID != e.From {
+		return
+	}
+	note := dahliaford.Event{Kind: dahliaford.AttemptNote, Job: t.job, Attempt: k.attempt,
+		Worker: k.region.number, Note: dahliaford.NoteStarted}
+	switch e.News {
+	case NewsStarted:
+		k.started = true
+		s.tell(note)
+	case NewsRunning:
+		note.Note, note.Value = dahliaford.NoteProgress, e.Share
+		s.tell(note)
+	case NewsDone:
+		s.answer(t, Answer{Verdict: Served, Body: e.Result})
+		s.end(k, dahliaford.OK, e.Report)
+	case NewsFailed:
+		s.end(k, dahliaford.Failed, e.Report)
+	case NewsReturned:
+		s.end(k, dahliaford.Full, e.Report)
+	case NewsLost:
+		s.end(k, dahliaford.Reset, e.Report)
+	}
+}
+
+// end closes a routed task and tells the module how it went.
+func (s *Scheduler) end(k *task, o dahliaford.Outcome, r dahliaford.Report) {
+	s.forget(k)
+	if k.of.answered {
+		s.release(k.of)
+	}
+	s.tell(dahliaford.Event{Kind: dahliaford.AttemptEnded, Job: k.of.job, Attempt: k.attempt,
+		Worker: k.region.number, Outcome: o, Final: k.of.answered, Report: r})
+}
+
+func (s *Scheduler) forget(k *task) {
+	k.ended = true
+	delete(s.byTask, k.number)
+}
+
+// callBack gives up a routed task: by its connection before the region accepted it,
+// by a word to the region after that. A start that was told before the acceptance
+// came in means that the connection alone may be too late.
+func (s *Scheduler) callBack(k *task) {
+	if !k.accepted {
+		s.emit(Abandon{Task: k.number})
+	}
+	if k.accepted || k.started {
+		s.emit(Withdraw{ID: k.of.id, Addr: k.region.Addr, Deadline: s.now + withdrawFor})
+	}
+}
+
+func (s *Scheduler) route(a *dahliaford.Action) {
+	t, r := s.byJob[a.Job], s.byNumber[a.Worker]
+	if t == nil || r == nil || t.answered || len(t.tasks) > 0 && !t.tasks[len(t.tasks)-1].ended {
+		// The module never asks for this. If it did, a send would break a rule.
+		s.feed(dahliaford.Event{Kind: dahliaford.AttemptEnded, Job: a.Job, Attempt: a.Attempt, Worker: a.Worker,
+			Outcome: dahliaford.Moot, Final: t == nil || t.answered})
+		s.log("send suppressed", "job", a.Job, "worker", a.Worker)
+		return
+	}
+	s.lastTask++
+	k := &task{number: s.lastTask, of: t, attempt: a.Attempt, region: r, deadline: t.deadline}
+	if a.At > 0 {
+		k.deadline = min(k.deadline, a.At)
+	}
+	t.tasks = append(t.tasks, k)
+	s.byTask[k.number] = k
+	heap.Push(&s.due, due{at: k.deadline, task: k.number})
+	// A region may be told to drain the moment after this. A send counts from its
+	// first byte, so a slow connect must not carry it past the grace.
+	by := s.now + s.set.Module.ConnectTimeout
+	if s.set.DrainGrace > 0 {
+		by = min(by, s.now+s.set.DrainGrace)
+	}
+	s.emit(Route{Task: k.number, ID: t.id, UID: r.UID, Addr: r.Addr, WriteBy: min(by, k.deadline),
+		Deadline: k.deadline, Payload: t.payload})
+}
+
+// ---- The service table
+
+func (s *Scheduler) tableRead(t Table) {
+	s.watching = true
+	scope := dahliaford.ListDelta
+	if t.All {
+		scope = dahliaford.ListFull
+	}
+	s.apply(t, scope)
+}
+
+func (s *Scheduler) apply(t Table, scope dahliaford.ListScope) {
+	s.rev = max(s.rev, t.Rev)
+	if t.All {
+		for _, r := range s.regions {
+			r.Status = dahliaford.Gone
+		}
+	}
+	e := dahliaford.Event{Kind: dahliaford.ListChanged, Scope: scope}
+	for _, line := range t.Regions {
+		r := s.regions[line.UID]
+		if r == nil {
+			r = &region{number: s.numberOf(line.UID)}
+			s.regions[line.UID], s.byNumber[r.number] = r, r
+		}
+		r.Region = line
+		e.Workers = append(e.Workers, dahliaford.WorkerEntry{Worker: r.number, Zone: s.zones.of(line.Zone),
+			Cell: line.Cell, Kind: s.kinds.of(line.Kind), Status: line.Status, Started: line.Started})
+	}
+	for _, r := range sorted(s.regions) {
+		if gone := r.Status == dahliaford.Gone; gone != r.retired {
+			r.retired = gone
+			if gone {
+				s.emit(Retire{Addr: r.Addr})
+			}
+		}
+	}
+	s.tell(e)
+}
+
+// numberOf gives a region its number from its name. Schedulers that share nothing
+// must reckon the same owner of a cold region, and the module does so by number.
+func (s *Scheduler) numberOf(uid string) dahliaford.WorkerID {
+	sum := fnv.New32a()
+	sum.Write([]byte(uid))
+	n := dahliaford.WorkerID(sum.Sum32())
+	for s.byNumber[n] != nil {
+		n++
+	}
+	return n
+}
+
+// ---- The module
+
+// feed queues an event for the module behind the one that it works on.
+func (s *Scheduler) feed(e dahliaford.Event) { s.feedback = append(s.feedback, e) }
+
+// tell passes an event to the module, carries its actions over into effects, and
+// goes on until these lead to no further events.
+func (s *Scheduler) tell(e dahliaford.Event) {
+	s.feed(e)
+	if s.stepping {
+		return
+	}
+	s.stepping = true
+	for len(s.feedback) > 0 {
+		next := s.feedback[0]
+		s.feedback = s.feedback[1:]
+		for _, a := range s.module.Step(s.now, &next, nil) {
+			s.act(&a)
+		}
+	}
+	s.stepping = false
+}
+
+func (s *Scheduler) act(a *dahliaford.Action) {
+	t := s.byJob[a.Job]
+	switch a.Kind {
+	case dahliaford.Send:
+		s.route(a)
+	case dahliaford.Refuse:
+		if t != nil {
+			s.answer(t, Answer{Verdict: Refused, Wait: a.Wait})
+		}
+	case dahliaford.Fail:
+		if t != nil {
+			s.answer(t, Answer{Verdict: Failed})
+		}
+	case dahliaford.Cancel:
+		if t != nil && a.Attempt < len(t.tasks) && !t.tasks[a.Attempt].ended {
+			s.callBack(t.tasks[a.Attempt])
+			s.end(t.tasks[a.Attempt], dahliaford.Cancelled, dahliaford.Report{})
+		}
+	case dahliaford.SetTimer:
+		heap.Push(&s.due, due{at: s.now + a.Wait, token: a.Token, timer: true})
+	case dahliaford.WatchList:
+		if s.watching {
+			// The watch shows by its heartbeats that it lives. Opening another would
+			// only load discovery, so the module gets its answer here.
+			s.feed(dahliaford.Event{Kind: dahliaford.ListChanged, Scope: dahliaford.ListDelta})
+		} else {
+			s.emit(Watch{Rev: s.rev})
+		}
+	case dahliaford.Log:
+		s.log(a.Text)
+	}
+}
+
+// ---- Time
+
+// due is something that comes due: a timer of the module, the end of a routed task,
+// of a transaction, or (with neither) just a look.
+type due struct {
+	at     Micros
+	timer  bool
+	token  uint64
+	task   Task
+	caller Caller
+}
+
+type dues []due
+
+func (d dues) Len() int           { return len(d) }
+func (d dues) Less(i, j int) bool { return d[i].at < d[j].at }
+func (d dues) Swap(i, j int)      { d[i], d[j] = d[j], d[i] }
+func (d *dues) Push(x any)        { *d = append(*d, x.(due)) }
+func (d *dues) Pop() any {
+	last := len(*d) - 1
+	x := (*d)[last]
+	*d = (*d)[:last]
+	return x
+}
+
+// expire deals with all that has come due.
+func (s *Scheduler) expire() {
+	for len(s.due) > 0 && s.due[0].at <= s.now {
+		d := heap.Pop(&s.due).(due)
+		switch {
+		case d.timer:
+			s.tell(dahliaford.Event{Kind: dahliaford.TimerRang, Token: d.token})
+		case d.task != 0:
+			if k := s.byTask[d.task]; k != nil {
+				s.callBack(k)
+				s.end(k, dahliaford.TimedOut, dahliaford.Report{})
+			}
+		case d.caller != 0:
+			// The module answers before this. Should it ever not, the caller gets an
+			// answer all the same, and it is not told that a repeat is harmless.
+			if t := s.byCaller[d.caller]; t != nil {
+				s.log("no decision by the deadline", "txn", t.id)
+				s.answer(t, Answer{Verdict: Failed})
+				s.tell(dahliaford.Event{Kind: dahliaford.ClientGone, Job: t.job})
+			}
+		}
+	}
+}
+
+func (s *Scheduler) stopping() bool { return s.stopAt != 0 && s.now >= s.stopAt }
+
+func (s *Scheduler) stop() {
+	if !s.stopping() {
+		return
+	}
+	if !s.stopped {
+		s.stopped = true
+		s.emit(Close{})
+		s.log("no new transactions from now on", "open", len(s.byCaller))
+	}
+	if len(s.byCaller) == 0 {
+		s.emit(Exit{})
+	}
+}
+
+// arm asks to be woken for what comes due next. What no longer counts is left out.
+func (s *Scheduler) arm() {
+	for len(s.due) > 0 {
+		d := s.due[0]
+		if d.task != 0 && s.byTask[d.task] == nil || d.caller != 0 && s.byCaller[d.caller] == nil {
+			heap.Pop(&s.due)
+			continue
+		}
+		if d.at != s.wake {
+			s.wake = d.at
+			s.emit(Wake{At: d.at})
+		}
+		return
+	}
+}
+
+func (s *Scheduler) emit(e Effect) { s.out = append(s.out, e) }
+
+func (s *Scheduler) log(text string, args ...any) { s.emit(Log{Text: text, Args: args}) }
+
+// sorted lists the values of a map by key: the same events give the same effects.
+func sorted[K interface{ ~string | ~uint64 }, V any](m map[K]V) []V {
+	keys := make([]K, 0, len(m))
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	values := make([]V, len(keys))
+	for i, k := range keys {
+		values[i] = m[k]
+	}
+	return values
+}
--- a/internal/wire/settings.go
+++ b/internal/settings/settings.go
@@ -1,16 +1,32 @@
-package wire
+// Package settings reads the settings object that every instance starts with, for
+// the adapter and for the scheduler on sockets alike.
+package settings
 
 import (
 	"encoding/json"
 	"fmt"
 	"slices"
 
-	"rosehub"
+	"dahliaford"
 )
 
-// params is the settings object of an enlist event. Pointers mark what is
-// optional and has a default other than zero.
-type params struct {
+// Settings is what the object says: to the decision module, and to the program
+// that meets names instead of numbers.
+type Settings struct {
+	Module     dahliaford.Settings
+	Classes    []string // names, by number
+	Tenants    []string
+	Zones      []string
+	Kinds      []string
+	ConnIdle   dahliaford.Micros // regions close a connection that idles for this long; 0: not told
+	DrainGrace dahliaford.Micros // sends to a region told to drain must have begun by then
+}
+
+// object is the settings object. Pointers mark what is optional and has a default
+// other than zero.
+type object struct {
+	Zones       []string `json:"azs"`
+	Kinds       []string `json:"kinds"`
 	Balancers   int      `json:"balancers"`
 	Me          int      `json:"me"`
 	Locality    int      `json:"locality"`
@@ -19,6 +35,7 @@
 	WorthBy     string   `json:"worth_by"`
 	OverShare   *float64 `json:"over_share_worth"`
 	Grades      []struct {
+		Name       string   `json:"name"`
 		SLO        int64    `json:"slo"`
 		AimStretch *float64 `json:"aim_stretch"`
 		Deadline   int64    `json:"deadline"`
@@ -30,6 +47,7 @@
 		Stream     bool     `json:"stream"`
 	} `json:"grades"`
 	Customers []struct {
+		Name  string  `json:"name"`
 		Quota float64 `json:"quota_per_s"`
 	} `json:"customers"`
 	FamilyInfo struct {
@@ -43,12 +61,14 @@
 		AskWithin      int64    `json:"ask_within"`
 		Cold           int64    `json:"cold"`
 		ColdFrom       float64  `json:"cold_from"`
+		DrainGrace     int64    `json:"drain_grace"`
 		Fall           int64    `json:"fall"`
 		OverloadFactor *float64 `json:"overload_factor"`
 	} `json:"guarantees"`
 	Limits struct {
 		AttemptsCap    int   `json:"attempts_cap"`
 		Cancel         bool  `json:"cancel"`
+		ConnIdle       int64 `json:"conn_idle"`
 		ConnectTimeout int64 `json:"connect_timeout"`
 		MaxRetryAfter  int64 `json:"max_retry_after"`
 		MayDuplicate   bool  `json:"may_duplicate"`
@@ -65,50 +85,52 @@
 	} `json:"report"`
 }
 
-var effects = map[string]rosehub.Effect{
-	"idempotent": rosehub.Safe, "deduplicated": rosehub.Keyed, "at_most_once": rosehub.Unsafe,
+var effects = map[string]dahliaford.Effect{
+	"idempotent": dahliaford.Safe, "deduplicated": dahliaford.Keyed, "at_most_once": dahliaford.Unsafe,
 }
 
-var groups = map[string]rosehub.Group{
-	"all": rosehub.GroupAll, "zone": rosehub.GroupZone, "cell": rosehub.GroupCell, "": rosehub.GroupCell,
+var groups = map[string]dahliaford.Group{
+	"all": dahliaford.GroupAll, "zone": dahliaford.GroupZone, "cell": dahliaford.GroupCell, "": dahliaford.GroupCell,
 }
 
-// parseSettings reads the settings object. What is absent gets the value that
-// promises least.
-func parseSettings(raw []byte) (rosehub.Settings, error) {
-	var p params
+// Parse reads the settings object. What is absent gets the value that promises
+// least.
+func Parse(raw []byte) (Settings, error) {
+	var p object
 	if err := json.Unmarshal(raw, &p); err != nil {
-		return rosehub.Settings{}, fmt.Errorf("settings: %w", err)
+		return Settings{}, fmt.Errorf("settings: %w", err)
 	}
-	s := rosehub.Settings{
+	all := Settings{Zones: p.Zones, Kinds: p.Kinds, ConnIdle: dahliaford.Micros(p.Limits.ConnIdle),
+		DrainGrace: dahliaford.Micros(p.Guarantees.DrainGrace)}
+	s := dahliaford.Settings{
 		Me: p.Me, Balancers: p.Balancers, Zone: p.Locality, WorthByWork: p.WorthBy == "work",
 		OverShareWorth: orElse(p.OverShare, 1),
-		AskForList:     p.Discovery == "on_request", AskWithin: rosehub.Micros(p.Guarantees.AskWithin),
-		Granularity: rosehub.Micros(p.Granularity),
-		Cold:        rosehub.Micros(p.Guarantees.Cold),
+		AskForList:     p.Discovery == "on_request", AskWithin: dahliaford.Micros(p.Guarantees.AskWithin),
+		Granularity: dahliaford.Micros(p.Granularity),
+		Cold:        dahliaford.Micros(p.Guarantees.Cold),
 		ColdFrom:    p.Guarantees.ColdFrom, OverloadFactor: orElse(p.Guarantees.OverloadFactor, 1),
-		Fall: rosehub.Micros(p.Guarantees.Fall), MaxAttempts: p.Limits.AttemptsCap,
+		Fall: dahliaford.Micros(p.Guarantees.Fall), MaxAttempts: p.Limits.AttemptsCap,
 		MayCancel: p.Limits.Cancel, MayDuplicate: p.Limits.MayDuplicate, MayProbe: p.Limits.Probes,
-		MayTellPeers: p.Limits.Peers, ConnectTimeout: rosehub.Micros(p.Limits.ConnectTimeout),
-		TellsStart: p.FamilyInfo.TellsStart, Progress: rosehub.Micros(p.FamilyInfo.Progress),
+		MayTellPeers: p.Limits.Peers, ConnectTimeout: dahliaford.Micros(p.Limits.ConnectTimeout),
+		TellsStart: p.FamilyInfo.TellsStart, Progress: dahliaford.Micros(p.FamilyInfo.Progress),
 		CrossZonePrice: p.Prices.CrossZone,
 	}
 	if p.Limits.RetryAfter {
-		s.MaxRetryAfter = rosehub.Micros(p.Limits.MaxRetryAfter)
+		s.MaxRetryAfter = dahliaford.Micros(p.Limits.MaxRetryAfter)
 	}
 	s.Reports = p.Report.How != "off" && slices.Contains(p.Report.Fields, "x0") &&
 		p.FamilyInfo.ReportX0 == "free slots"
 	for i, g := range p.Grades {
 		effect, known := effects[g.Semantics]
 		if !known {
-			return s, fmt.Errorf("settings: grades[%d].semantics: unknown value %q", i, g.Semantics)
+			return all, fmt.Errorf("settings: grades[%d].semantics: unknown value %q", i, g.Semantics)
 		}
 		group, known := groups[g.DedupScope]
 		if !known {
-			return s, fmt.Errorf("settings: grades[%d].dedup_scope: unknown value %q", i, g.DedupScope)
+			return all, fmt.Errorf("settings: grades[%d].dedup_scope: unknown value %q", i, g.DedupScope)
 		}
-		c := rosehub.Class{Aim: rosehub.Micros(g.SLO), Deadline: rosehub.Micros(g.Deadline), Worth: g.Worth,
-			LateWorth: g.LateWorth, Effect: effect, Group: group, Window: rosehub.Micros(g.MemorySpan),
+		c := dahliaford.Class{Aim: dahliaford.Micros(g.SLO), Deadline: dahliaford.Micros(g.Deadline), Worth: g.Worth,
+			LateWorth: g.LateWorth, Effect: effect, Group: group, Window: dahliaford.Micros(g.MemorySpan),
 			Stream: g.Stream, Kind: -1}
 		if i < len(p.FamilyInfo.ClassStretch) {
 			c.Stretch = p.FamilyInfo.ClassStretch[i]
@@ -118,11 +140,14 @@
 			c.Kind = p.FamilyInfo.ClassKind[i]
 		}
 		s.Classes = append(s.Classes, c)
+		all.Classes = append(all.Classes, g.Name)
 	}
 	for _, c := range p.Customers {
-		s.Tenants = append(s.Tenants, rosehub.Tenant{Quota: c.Quota})
+		s.Tenants = append(s.Tenants, dahliaford.Tenant{Quota: c.Quota})
+		all.Tenants = append(all.Tenants, c.Name)
 	}
-	return s, nil
+	all.Module = s
+	return all, nil
 }
 
 func orElse(v *float64, otherwise float64) float64 {
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -9,7 +9,7 @@
 
 	"github.com/mailru/easyjson/jlexer"
 
-	"rosehub"
+	"dahliaford"
 )
 
 // message is one event of a batch, as it stands on the wire. Which fields count
@@ -37,8 +37,8 @@
 	blob     string
 	seed     uint64
 	params   []byte
-	report   rosehub.Report
-	workers  []rosehub.WorkerEntry
+	report   dahliaford.Report
+	workers  []dahliaford.WorkerEntry
 }
 
 // decodeBatch reads one line into the reused slice. Strings and raw fields of
@@ -182,8 +182,8 @@
 	in.Delim('}')
 }
 
-func decodeWorkers(in *jlexer.Lexer) []rosehub.WorkerEntry {
-	var list []rosehub.WorkerEntry
+func decodeWorkers(in *jlexer.Lexer) []dahliaford.WorkerEntry {
+	var list []dahliaford.WorkerEntry
 	in.Delim('[')
 	for !in.IsDelim(']') {
 		list = append(list, decodeWorker(in))
@@ -196,8 +196,8 @@
 	return list
 }
 
-func decodeWorker(in *jlexer.Lexer) rosehub.WorkerEntry {
-	e := rosehub.WorkerEntry{Status: rosehub.Ready}
+func decodeWorker(in *jlexer.Lexer) dahliaford.WorkerEntry {
+	e := dahliaford.WorkerEntry{Status: dahliaford.Ready}
 	in.Delim('{')
 	for !in.IsDelim('}') {
 		key := in.UnsafeFieldName(false)
@@ -217,9 +217,9 @@
 		case "status":
 			e.Status = workerStatus(in.Int())
 		case "online_since":
-			e.Started = rosehub.Micros(in.Int64())
+			e.Started = dahliaford.Micros(in.Int64())
 		case "worker":
-			e.Worker = rosehub.WorkerID(in.Uint32())
+			e.Worker = dahliaford.WorkerID(in.Uint32())
 		default:
 			in.SkipRecursive()
 		}
@@ -229,57 +229,57 @@
 	return e
 }
 
-func workerStatus(n int) rosehub.Status {
+func workerStatus(n int) dahliaford.Status {
 	switch n {
 	case 1:
-		return rosehub.Ready
+		return dahliaford.Ready
 	case 2:
-		return rosehub.Draining
+		return dahliaford.Draining
 	}
-	return rosehub.Gone
+	return dahliaford.Gone
 }
 
-var outcomes = map[int]rosehub.Outcome{
-	0: rosehub.OK, 5: rosehub.Failed, 11: rosehub.Full, 110: rosehub.TimedOut, 111: rosehub.ConnectFailed,
-	104: rosehub.Reset, 125: rosehub.Cancelled, 114: rosehub.Moot,
+var outcomes = map[int]dahliaford.Outcome{
+	0: dahliaford.OK, 5: dahliaford.Failed, 11: dahliaford.Full, 110: dahliaford.TimedOut, 111: dahliaford.ConnectFailed,
+	104: dahliaford.Reset, 125: dahliaford.Cancelled, 114: dahliaford.Moot,
 }
 
 // event fills e with what a message means; false for one that means nothing to
 // a dispatcher.
-func (m *message) event(e *rosehub.Event) bool {
-	*e = rosehub.Event{Job: rosehub.JobID(m.job), Worker: rosehub.WorkerID(m.worker),
+func (m *message) event(e *dahliaford.Event) bool {
+	*e = dahliaford.Event{Job: dahliaford.JobID(m.job), Worker: dahliaford.WorkerID(m.worker),
 		Attempt: m.try, Report: m.report}
 	switch m.name {
 	case "knock":
-		e.Kind, e.Class, e.Tenant = rosehub.JobArrived, m.class, m.tenant
-		e.Patience, e.Work = rosehub.Micros(m.patience), rosehub.Micros(m.estimate)
+		e.Kind, e.Class, e.Tenant = dahliaford.JobArrived, m.class, m.tenant
+		e.Patience, e.Work = dahliaford.Micros(m.patience), dahliaford.Micros(m.estimate)
 		e.Slots = max(m.needs, m.memory)
 	case "completed", "status_back":
-		e.Kind, e.Final = rosehub.AttemptEnded, m.terminal
+		e.Kind, e.Final = dahliaford.AttemptEnded, m.terminal
 		if m.name == "status_back" {
-			e.Kind = rosehub.ProbeEnded
+			e.Kind = dahliaford.ProbeEnded
 		}
 		outcome, known := outcomes[m.status]
 		if !known {
-			outcome = rosehub.Failed // it may have run: the careful reading of a new code
+			outcome = dahliaford.Failed // it may have run: the careful reading of a new code
 		}
 		e.Outcome = outcome
 	case "status_note":
-		e.Kind, e.Value = rosehub.AttemptNote, m.value
+		e.Kind, e.Value = dahliaford.AttemptNote, m.value
 		switch m.sort {
 		case 1:
-			e.Note = rosehub.NoteStarted
+			e.Note = dahliaford.NoteStarted
 		case 2:
-			e.Note = rosehub.NoteProgress
+			e.Note = dahliaford.NoteProgress
 		}
 	case "first_byte":
-		e.Kind = rosehub.StreamBegan
+		e.Kind = dahliaford.StreamBegan
 	case "client_gone":
-		e.Kind = rosehub.ClientGone
+		e.Kind = dahliaford.ClientGone
 	case "ring":
-		e.Kind, e.Token = rosehub.TimerRang, m.tag
+		e.Kind, e.Token = dahliaford.TimerRang, m.tag
 	case "whisper":
-		e.Kind, e.Peer = rosehub.PeerTold, m.from
+		e.Kind, e.Peer = dahliaford.PeerTold, m.from
 		e.Message, _ = hex.DecodeString(m.blob)
 	default:
 		return false
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -5,35 +5,35 @@
 	"encoding/json"
 	"strconv"
 
-	"rosehub"
+	"dahliaford"
 )
 
 // appendAction writes one action of an instance, followed by a comma.
-func appendAction(b []byte, who int, a *rosehub.Action) []byte {
+func appendAction(b []byte, who int, a *dahliaford.Action) []byte {
 	switch a.Kind {
-	case rosehub.Send:
+	case dahliaford.Send:
 		b = appendJob(open(b, "transmit", who), a)
 		b = appendInt(b, `,"worker":`, int64(a.Worker))
 		b = appendInt(b, `,"abandon_at":`, int64(a.At))
-	case rosehub.Refuse:
+	case dahliaford.Refuse:
 		b = appendJob(open(b, "reject", who), a)
 		b = appendInt(b, `,"hold_off":`, int64(a.Wait))
-	case rosehub.Fail:
+	case dahliaford.Fail:
 		b = appendJob(open(b, "respond_error", who), a)
-	case rosehub.Cancel:
+	case dahliaford.Cancel:
 		b = appendJob(open(b, "retract", who), a)
 		b = appendInt(b, `,"try":`, int64(a.Attempt))
-	case rosehub.SetTimer:
+	case dahliaford.SetTimer:
 		b = appendInt(open(b, "set_timer", who), `,"span":`, int64(a.Wait))
 		b = strconv.AppendUint(append(b, `,"tag":`...), a.Token, 10)
-	case rosehub.WatchList:
+	case dahliaford.WatchList:
 		b = append(open(b, "watch", who), `,"enable":true`...)
-	case rosehub.Probe:
+	case dahliaford.Probe:
 		b = appendInt(open(b, "poll", who), `,"worker":`, int64(a.Worker))
-	case rosehub.TellPeers:
+	case dahliaford.TellPeers:
 		b = appendInt(open(b, "write_peer", who), `,"dst":`, int64(a.Peer))
 		b = append(hex.AppendEncode(append(b, `,"blob":"`...), a.Message), '"')
-	case rosehub.Log:
+	case dahliaford.Log:
 		b = appendText(open(b, "write_log", who), a.Text)
 	default:
 		return b
@@ -51,7 +51,7 @@
 	return strconv.AppendInt(b, int64(who), 10)
 }
 
-func appendJob(b []byte, a *rosehub.Action) []byte {
+func appendJob(b []byte, a *dahliaford.Action) []byte {
 	return strconv.AppendUint(append(b, `,"op_id":`...), uint64(a.Job), 10)
 }
 
--- a/internal/wire/host.go
+++ b/internal/wire/host.go
@@ -5,7 +5,8 @@
 	"fmt"
 	"io"
 
-	"rosehub"
+	"dahliaford"
+	"dahliaford/internal/settings"
 )
 
 const (
@@ -17,17 +18,17 @@
 // Host runs the dispatchers of many instances. They share nothing but the list
 // texts that the wire numbers for the whole process.
 type Host struct {
-	dispatchers map[int]*rosehub.Dispatcher
-	lists       [lists][]rosehub.WorkerEntry
+	dispatchers map[int]*dahliaford.Dispatcher
+	lists       [lists][]dahliaford.WorkerEntry
 	messages    []message
-	actions     []rosehub.Action
-	event       rosehub.Event
+	actions     []dahliaford.Action
+	event       dahliaford.Event
 	reply       []byte
 }
 
 // NewHost returns a host without instances.
 func NewHost() *Host {
-	return &Host{dispatchers: map[int]*rosehub.Dispatcher{}}
+	return &Host{dispatchers: map[int]*dahliaford.Dispatcher{}}
 }
 
 // Serve answers batches, one a line, until the input ends. It fails on a line
@@ -56,7 +57,7 @@
 	}
 	h.reply = append(h.reply[:0], `{"do":[`...)
 	for i := range messages {
-		h.handle(rosehub.Micros(now), &messages[i])
+		h.handle(dahliaford.Micros(now), &messages[i])
 	}
 	if h.reply[len(h.reply)-1] == ',' {
 		h.reply = h.reply[:len(h.reply)-1]
@@ -67,7 +68,7 @@
 
 // handle passes one message on. A breakdown of the decision code is reported
 // for the instance that it hit.
-func (h *Host) handle(now rosehub.Micros, m *message) {
+func (h *Host) handle(now dahliaford.Micros, m *message) {
 	defer func() {
 		if cause := recover(); cause != nil {
 			h.reply = appendFault(h.reply, m.who, fmt.Sprint(cause))
@@ -92,38 +93,38 @@
 	}
 }
 
-func (h *Host) enlist(now rosehub.Micros, m *message) {
-	settings, err := parseSettings(m.params)
-	var d *rosehub.Dispatcher
+func (h *Host) enlist(now dahliaford.Micros, m *message) {
+	told, err := settings.Parse(m.params)
+	var d *dahliaford.Dispatcher
 	if err == nil {
-		d, err = rosehub.New(settings, m.seed)
+		d, err = dahliaford.New(told.Module, m.seed)
 	}
 	if err != nil {
 		h.reply = appendFault(h.reply, m.who, err.Error())
 		return
 	}
 	h.dispatchers[m.who] = d
-	h.event = rosehub.Event{Kind: rosehub.Began}
+	h.event = dahliaford.Event{Kind: dahliaford.Began}
 	h.step(now, m.who)
 }
 
-var scopes = map[int]rosehub.ListScope{
-	0: rosehub.ListDelta, 1: rosehub.ListCached, 2: rosehub.ListFailed, 3: rosehub.ListFull,
+var scopes = map[int]dahliaford.ListScope{
+	0: dahliaford.ListDelta, 1: dahliaford.ListCached, 2: dahliaford.ListFailed, 3: dahliaford.ListFull,
 }
 
-func (h *Host) update(now rosehub.Micros, m *message) {
+func (h *Host) update(now dahliaford.Micros, m *message) {
 	scope, known := scopes[m.scope]
 	if !known {
 		return
 	}
-	h.event = rosehub.Event{Kind: rosehub.ListChanged, Scope: scope}
-	if scope != rosehub.ListFailed && m.ref >= 0 && m.ref < lists {
+	h.event = dahliaford.Event{Kind: dahliaford.ListChanged, Scope: scope}
+	if scope != dahliaford.ListFailed && m.ref >= 0 && m.ref < lists {
 		h.event.Workers = h.lists[m.ref]
 	}
 	h.step(now, m.who)
 }
 
-func (h *Host) step(now rosehub.Micros, who int) {
+func (h *Host) step(now dahliaford.Micros, who int) {
 	d := h.dispatchers[who]
 	if d == nil {
 		return
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -5,7 +5,8 @@
 	"strings"
 	"testing"
 
-	"rosehub"
+	"dahliaford"
+	"dahliaford/internal/settings"
 )
 
 func serve(t *testing.T, lines ...string) (string, error) {
@@ -49,10 +50,11 @@
 }
 
 func TestSettingsFromTheWire(t *testing.T) {
-	s, err := parseSettings([]byte(flat(testSettings)))
+	told, err := settings.Parse([]byte(flat(testSettings)))
 	if err != nil {
 		t.Fatal(err)
 	}
+	s := told.Module
 	if s.Classes[0].Stretch != 1.5 || s.Classes[1].Stretch != 0.5 || s.Classes[1].Group != 1 ||
 		s.Classes[1].Effect != 1 || s.Classes[0].Kind != -1 {
 		t.Errorf("classes: %+v", s.Classes)
@@ -139,14 +141,14 @@
 
 func TestEncodeEveryAction(t *testing.T) {
 	hi := []byte("hi")
-	for want, a := range map[string]rosehub.Action{
-		`{"reject":{"who":3,"op_id":7,"hold_off":250}},`:  {Kind: rosehub.Refuse, Job: 7, Wait: 250},
-		`{"respond_error":{"who":3,"op_id":7}},`:          {Kind: rosehub.Fail, Job: 7},
-		`{"retract":{"who":3,"op_id":7,"try":2}},`:        {Kind: rosehub.Cancel, Job: 7, Attempt: 2},
-		`{"set_timer":{"who":3,"span":5,"tag":9}},`:       {Kind: rosehub.SetTimer, Wait: 5, Token: 9},
-		`{"poll":{"who":3,"worker":8}},`:                  {Kind: rosehub.Probe, Worker: 8},
-		`{"write_peer":{"who":3,"dst":4,"blob":"6869"}},`: {Kind: rosehub.TellPeers, Peer: 4, Message: hi},
-		`{"write_log":{"who":3,"line":"a \"b\""}},`:       {Kind: rosehub.Log, Text: `a "b"`},
+	for want, a := range map[string]dahliaford.Action{
+		`{"reject":{"who":3,"op_id":7,"hold_off":250}},`:  {Kind: dahliaford.Refuse, Job: 7, Wait: 250},
+		`{"respond_error":{"who":3,"op_id":7}},`:          {Kind: dahliaford.Fail, Job: 7},
+		`{"retract":{"who":3,"op_id":7,"try":2}},`:        {Kind: dahliaford.Cancel, Job: 7, Attempt: 2},
+		`{"set_timer":{"who":3,"span":5,"tag":9}},`:       {Kind: dahliaford.SetTimer, Wait: 5, Token: 9},
+		`{"poll":{"who":3,"worker":8}},`:                  {Kind: dahliaford.Probe, Worker: 8},
+		`{"write_peer":{"who":3,"dst":4,"blob":"6869"}},`: {Kind: dahliaford.TellPeers, Peer: 4, Message: hi},
+		`{"write_log":{"who":3,"line":"a \"b\""}},`:       {Kind: dahliaford.Log, Text: `a "b"`},
 	} {
 		if got := string(appendAction(nil, 3, &a)); got != want {
 			t.Errorf("got %s, want %s", got, want)
@@ -157,7 +159,7 @@
 // A breakdown of the decision code is reported for the instance that it hit.
 func TestPanicIsReported(t *testing.T) {
 	h := NewHost()
-	h.dispatchers[2] = &rosehub.Dispatcher{} // not made by New: its maps are missing
+	h.dispatchers[2] = &dahliaford.Dispatcher{} // not made by New: its maps are missing
 	out, err := h.Batch([]byte(`{"t":1,"inbox":[{"knock":{"who":2,"op_id":1,"class":0,"patience_left":5}}]}`))
 	if err != nil || !strings.Contains(string(out), `{"exception":{"who":2,"line":`) {
 		t.Errorf("got %s, %v", out, err)
--- a/property_test.go
+++ b/property_test.go
@@ -1,4 +1,4 @@
-package rosehub
+package dahliaford
 
 import (
 	"fmt"
--- a/settings.go
+++ b/settings.go
@@ -1,4 +1,4 @@
-package rosehub
+package dahliaford
 
 import (
 	"fmt"
@@ -9,26 +9,26 @@
 func check(s *Settings) error {
 	switch {
 	case s.Balancers < 0:
-		return fmt.Errorf("rosehub: Balancers is negative: %d", s.Balancers)
+		return fmt.Errorf("dahliaford: Balancers is negative: %d", s.Balancers)
 	case len(s.Classes) == 0:
-		return fmt.Errorf("rosehub: Classes is empty")
+		return fmt.Errorf("dahliaford: Classes is empty")
 	case s.Granularity < 0:
-		return fmt.Errorf("rosehub: Granularity is negative: %d", s.Granularity)
+		return fmt.Errorf("dahliaford: Granularity is negative: %d", s.Granularity)
 	case s.ColdFrom < 0 || s.ColdFrom > 1:
-		return fmt.Errorf("rosehub: ColdFrom is not within 0 and 1: %v", s.ColdFrom)
+		return fmt.Errorf("dahliaford: ColdFrom is not within 0 and 1: %v", s.ColdFrom)
 	case s.OverloadFactor < 0 || s.Cold < 0 || s.Fall < 0:
-		return fmt.Errorf("rosehub: Cold, Fall or OverloadFactor is negative")
+		return fmt.Errorf("dahliaford: Cold, Fall or OverloadFactor is negative")
 	case s.MaxAttempts < 0:
-		return fmt.Errorf("rosehub: MaxAttempts is negative: %d", s.MaxAttempts)
+		return fmt.Errorf("dahliaford: MaxAttempts is negative: %d", s.MaxAttempts)
 	}
 	for i, c := range s.Classes {
 		switch {
 		case c.Deadline <= 0:
-			return fmt.Errorf("rosehub: Classes[%d].Deadline is not positive: %d", i, c.Deadline)
+			return fmt.Errorf("dahliaford: Classes[%d].Deadline is not positive: %d", i, c.Deadline)
 		case c.Aim < 0 || c.Stretch < 0 || c.Worth < 0 || c.LateWorth < 0 || c.Window < 0:
-			return fmt.Errorf("rosehub: Classes[%d] has a negative Aim, Stretch, Worth, LateWorth or Window", i)
+			return fmt.Errorf("dahliaford: Classes[%d] has a negative Aim, Stretch, Worth, LateWorth or Window", i)
 		case c.Effect > Unsafe || c.Group > GroupCell:
-			return fmt.Errorf("rosehub: Classes[%d] has an unknown Effect or Group", i)
+			return fmt.Errorf("dahliaford: Classes[%d] has an unknown Effect or Group", i)
 		}
 		if c.Aim == 0 {
 			s.Classes = slices.Clone(s.Classes)
@@ -37,7 +37,7 @@
 	}
 	for i, t := range s.Tenants {
 		if t.Quota < 0 {
-			return fmt.Errorf("rosehub: Tenants[%d] has a negative Quota", i)
+			return fmt.Errorf("dahliaford: Tenants[%d] has a negative Quota", i)
 		}
 	}
 	s.Balancers = max(1, s.Balancers)
