Start the watch at the known version, and test the reducer in scenarios

Seen: the first watch asked for what came after version 0, so discovery sent the whole table where a change would do. Found by the first scenario on the watch. Line at fault: begin() told the module Began, which asks for the watch at once, before the known table and its version had been taken in. Ruled out: a wrong version later on; a watch that is lost starts where it stood. Before: from=0. After: from=known.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -178,7 +178,10 @@
 	return s.out, nil
 }
 
+// begin starts the module. It asks for the table before it has been told the known
+// one, so the version must be there first: from 0 on, discovery would send it all.
 func (s *Scheduler) begin(known Table) {
+	s.rev = max(s.rev, known.Rev)
 	s.tell(dahliaford.Event{Kind: dahliaford.Began})
 	s.apply(known, dahliaford.ListCached)
 }
--- /dev/null
+++ b/internal/scheduler/scheduler_test.go
@@ -0,0 +1,364 @@
+package scheduler
+
+import (
+	"container/heap"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"dahliaford"
+	"dahliaford/internal/scenario"
+	"dahliaford/internal/settings"
+)
+
+const testSettings = `{"balancers":1,"me":0,"granularity":2000,"azs":["north"],"kinds":["m1"],
+	"grades":[
+	{"name":"post","semantics":"at_most_once","slo":200000,"deadline":5000000,"worth":2},
+	{"name":"batch","semantics":"deduplicated","dedup_scope":"cell","memory_span":30000000,
+	 "slo":500000,"deadline":20000000,"worth":3}],
+	"customers":[{"name":"sahel"}],
+	"family_info":{"class_stretch":[2,2.5],"tells_start":true},"discovery":"on_request",
+	"limits":{"attempts_cap":4,"cancel":true,"connect_timeout":250000,"max_retry_after":2000000},
+	"guarantees":{"cold":8000000,"cold_from":0.3,"fall":2000000,"overload_factor":4,"ask_within":10000000,
+	 "drain_grace":500000}}`
+
+// world plays a scheduler on a clock of its own. Effects become lines, queued for
+// the party that they reach.
+type world struct {
+	s       *Scheduler
+	now     Micros
+	wake    Micros
+	seen    map[string][]string
+	tasks   map[string]Task   // the last one, by transaction id
+	regions map[Task]string   // where it went
+	callers map[Caller]string // names
+}
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	set, err := settings.Parse([]byte(testSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{s: s, now: 1000 * second, seen: map[string][]string{}, tasks: map[string]Task{},
+		regions: map[Task]string{}, callers: map[Caller]string{}}
+	w.step(Began{Known: Table{Rev: 1, All: true, Regions: []Region{line("r1", 1)}}})
+	return w
+}
+
+func line(uid string, status dahliaford.Status) Region {
+	return Region{UID: uid, Addr: uid, Zone: "north", Kind: "m1", Status: status}
+}
+
+func (w *world) step(e Event) { w.see(w.s.Step(w.now, e, nil)) }
+
+func (w *world) see(effects []Effect) {
+	say := func(who, format string, args ...any) {
+		w.seen[who] = append(w.seen[who], strings.TrimSpace(fmt.Sprintf(format, args...)))
+	}
+	for _, e := range effects {
+		switch e := e.(type) {
+		case Route:
+			w.tasks[e.ID], w.regions[e.Task] = e.Task, e.UID
+			say(e.UID, "%s %v written in %v done in %v", e.ID, e.Payload, w.in(e.WriteBy), w.in(e.Deadline))
+		case Abandon:
+			say(w.regions[e.Task], "abandoned")
+		case Withdraw:
+			say(e.Addr, "withdrawn %s", e.ID)
+		case Answer:
+			verdict := [...]string{"served", "refused", "failed", "invalid", "conflict"}[e.Verdict]
+			say(w.callers[e.Caller], "%s%s%s", verdict, spaced(string(e.Body)), spaced(map[bool]string{true: "last"}[e.Last]))
+		case Watch:
+			say("discovery", "watch from %d", e.Rev)
+		case Retire:
+			say(e.Addr, "retired")
+		case Close, Exit:
+			say("program", "%T", e)
+		case Wake:
+			w.wake = e.At
+		}
+	}
+}
+
+func spaced(text string) string {
+	if text == "" {
+		return ""
+	}
+	return " " + text
+}
+
+func (w *world) in(at Micros) time.Duration { return time.Duration(at-w.now) * time.Microsecond }
+
+func (w *world) Wait(text string) error {
+	span, err := time.ParseDuration(text)
+	for end := w.now + Micros(span.Microseconds()); ; {
+		if w.wake == 0 || w.wake > end {
+			w.now = end
+			return err
+		}
+		w.now, w.wake = max(w.now, w.wake), 0
+		w.step(Woke{})
+	}
+}
+
+func (w *world) Party(name string) scenario.Party { return party{w, name} }
+
+type party struct {
+	*world
+	name string
+}
+
+func (p party) Expect(string) (string, error) {
+	queue := p.seen[p.name]
+	if len(queue) == 0 {
+		return "nothing", nil
+	}
+	p.seen[p.name] = queue[1:]
+	return queue[0], nil
+}
+
+func (p party) Close(text string) error {
+	switch {
+	case p.name == "discovery":
+		p.step(TableLost{})
+	case p.name[0] == 'r': // the connection broke after the request was out
+		p.step(Ended{Task: p.tasks[text], Outcome: dahliaford.Reset})
+	default:
+		for c, name := range p.callers {
+			if name == p.name {
+				p.step(CallerLeft{Caller: c})
+			}
+		}
+	}
+	return nil
+}
+
+func (p party) Send(text string) error {
+	words := strings.Fields(text)
+	switch {
+	case p.name == "program":
+		if words[0] == "panic" {
+			p.s.module = nil
+			p.recovered()
+			return nil
+		}
+		p.step(Stopping{})
+	case p.name == "discovery":
+		t := Table{Rev: 2}
+		for _, word := range words {
+			uid, state, _ := strings.Cut(word, "=")
+			status := map[string]dahliaford.Status{"ready": 1, "draining": 2}[state]
+			t.Regions = append(t.Regions, line(uid, status))
+		}
+		p.step(TableRead{Table: t})
+	case p.name[0] == 'r':
+		p.region(words[0], words[1])
+	default:
+		c := Caller(len(p.callers) + 1)
+		p.callers[c] = p.name
+		left, err := time.ParseDuration(words[3])
+		p.step(Submitted{Caller: c, ID: words[0], Class: words[1], Tenant: words[2],
+			Deadline: p.now + Micros(left.Microseconds()), Slots: 1, Payload: "payload"})
+		return err
+	}
+	return nil
+}
+
+// recovered does as a program does whose module has panicked.
+func (p party) recovered() {
+	defer func() {
+		recover()
+		effects, _ := p.s.Recover(p.now)
+		p.see(effects)
+	}()
+	p.step(TableLost{})
+}
+
+func (p party) region(word, id string) {
+	ends := map[string]dahliaford.Outcome{"error": dahliaford.Failed, "turned-away": dahliaford.Full,
+		"unreached": dahliaford.ConnectFailed}
+	if outcome, ok := ends[word]; ok {
+		p.step(Ended{Task: p.tasks[id], Outcome: outcome})
+	} else if word == "accepted" {
+		p.step(Accepted{Task: p.tasks[id]})
+	} else {
+		news := map[string]News{"started": NewsStarted, "done": NewsDone, "failed": NewsFailed,
+			"returned": NewsReturned, "lost": NewsLost}[word]
+		p.step(Told{ID: id, From: p.name, News: news, Result: []byte("result")})
+	}
+}
+
+func TestScenarios(t *testing.T) {
+	const submit, begun = `
+		c1 send a1 post sahel 5s
+		r1 expect a1 payload written in 250ms done in 4.996s`, `
+		r1 send accepted a1
+		r1 send started a1`
+	const batch = `
+		c1 send a1 batch sahel 20s
+		r1 expect a1 payload written in 250ms done in 19.996s
+		discovery send r2=ready`
+	const again = "\nr2 expect a1 payload written in 250ms done in 19.996s"
+	for name, script := range map[string]string{
+		"a transaction is served once": submit + begun + `
+			r1 send done a1
+			c1 expect served result
+			r1 send done a1
+			r1 send failed a1
+			c1 expect nothing`,
+		"the end may be told before the start and the acceptance": submit + `
+			r1 send done a1
+			c1 expect served result
+			r1 send started a1
+			r1 send accepted a1
+			r1 expect nothing`,
+		"only the region that has the task is heard": submit + begun + `
+			r9 send done a1
+			c1 expect nothing
+			r1 send done a1
+			c1 expect served result`,
+		"a connection that ends after the acceptance ends nothing": submit + begun + `
+			r1 close a1
+			c1 expect nothing
+			r1 send done a1
+			c1 expect served result`,
+		"one that ends before it may have run: no short-on-capacity reply": submit + `
+			r1 close a1
+			c1 expect failed`,
+		"an error may have run: no short-on-capacity reply": submit + `
+			r1 send error a1
+			c1 expect failed`,
+		"a lost job may have run": submit + begun + `
+			r1 send lost a1
+			c1 expect failed`,
+		"a job that never ran goes elsewhere, and no caller hears of it": batch + `
+			r1 send turned-away a1` + again + `
+			c1 expect nothing`,
+		"so does one that was handed back": batch + `
+			r1 send accepted a1
+			r1 send returned a1` + again,
+		"so does one whose region was not reached": batch + `
+			r1 send unreached a1` + again,
+		"what the module gives up is answered at once": `
+			discovery send r1=draining
+			c1 send a1 post sahel 5s
+			c1 expect nothing
+			wait 1s
+			c1 expect refused`,
+		"a job without time is answered at once": `
+			c1 send a1 post sahel 0s
+			c1 expect refused
+			r1 expect nothing`,
+		"a caller that leaves before the acceptance": submit + `
+			c1 close
+			r1 expect abandoned
+			r1 expect nothing`,
+		"a caller that leaves after it": submit + begun + `
+			c1 close
+			r1 expect withdrawn a1
+			r1 send done a1
+			c1 expect nothing`,
+		"a start told before the acceptance: the region may have taken it": submit + `
+			r1 send started a1
+			c1 close
+			r1 expect abandoned
+			r1 expect withdrawn a1`,
+		"a region that says nothing": submit + begun + `
+			wait 4.9s
+			c1 expect nothing
+			wait 97ms
+			r1 expect withdrawn a1
+			c1 expect failed
+			wait 1s
+			c1 expect nothing`,
+		"two transactions of one id would mix their news": submit + `
+			c2 send a1 post sahel 5s
+			c2 expect conflict a transaction of that id is open
+			r1 send done a1
+			c1 expect served result`,
+		"what makes no sense": `
+			c1 send a1 nothing sahel 5s
+			c1 expect invalid unknown class "nothing"
+			c2 send a2 post nobody 5s
+			c2 expect invalid unknown tenant "nobody"`,
+		"a drained region gets nothing new, one that is gone is let go": `
+			discovery send r1=draining r2=ready
+			c1 send a1 post sahel 5s
+			r1 expect nothing
+			r2 expect a1 payload written in 250ms done in 4.996s
+			discovery send r1=gone
+			r1 expect retired
+			discovery send
+			r1 expect nothing`,
+		"a dead watch is opened again from where it stood": `
+			discovery expect watch from 1
+			discovery send r2=ready
+			discovery close
+			discovery expect nothing
+			wait 2s
+			discovery expect watch from 2`,
+		"a watch that lives is not opened twice": `
+			discovery expect watch from 1
+			discovery send
+			wait 60s
+			discovery expect nothing`,
+		"a stopping scheduler serves on, then refuses, and ends with the last answer": submit + begun + `
+			program send stop
+			wait 500ms
+			c2 send a2 batch sahel 20s
+			c2 expect nothing
+			wait 200ms
+			program expect scheduler.Close
+			c3 send a3 post sahel 5s
+			c3 expect refused last
+			r1 send done a1
+			c1 expect served result last
+			program expect nothing
+			c2 close
+			program expect scheduler.Exit`,
+		"a panic loses nobody silently, and the next is served": submit + begun + `
+			program send panic
+			c1 expect failed
+			r1 expect withdrawn a1
+			c2 send a2 post sahel 5s
+			r1 expect a2 payload written in 250ms done in 4.996s
+			r1 send done a2
+			c2 expect served result`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			scenario.Run(t, newWorld(t), script, func(want, got string) string { return cmp.Diff(want, got) })
+		})
+	}
+}
+
+// A module that never answers must not cost the caller its answer.
+func TestDeadlineHoldsWithoutADecision(t *testing.T) {
+	w := newWorld(t)
+	w.step(TableRead{Table: Table{Regions: []Region{line("r1", 2)}}})
+	w.callers[7] = "c1"
+	late := &transaction{caller: 7, id: "x", job: 99, deadline: w.now + second}
+	w.s.byCaller[7], w.s.byID["x"], w.s.byJob[99] = late, late, late
+	heap.Push(&w.s.due, due{at: late.deadline, caller: 7})
+	w.step(TableRead{})
+	scenario.Run(t, w, "wait 1s\nc1 expect failed", func(want, got string) string { return cmp.Diff(want, got) })
+}
+
+// Schedulers share nothing, yet must give a region the same number, whatever order
+// they met it in: the module reckons the owner of a cold one by it.
+func TestNumbersHangOnNamesAlone(t *testing.T) {
+	a, b := newWorld(t).s, newWorld(t).s
+	a.apply(Table{Regions: []Region{line("s-1", 1), line("s-2", 1)}}, dahliaford.ListDelta)
+	b.apply(Table{Regions: []Region{line("s-2", 1), line("s-1", 1)}}, dahliaford.ListDelta)
+	for _, uid := range []string{"s-1", "s-2"} {
+		if diff := cmp.Diff(a.regions[uid].number, b.regions[uid].number); diff != "" {
+			t.Errorf("%s: %s", uid, diff)
+		}
+	}
+}
