Test codec and sockets in scenarios; judge room by jobs that wait, end quickly

Seen, by scenarios at a budget of 64 descriptors: with idle connections holding every slot a newcomer's job was refused though one of them could make room, and an orderly end always took its whole last half second. Checked: the acceptor does close the longest idle one; the refusal was judged before that, by slots taken (client.go, submit). The end waited for region connections that only end with the loop (node.go, close). Changed: the loop refuses when callers that wait leave only the reserve for callbacks; the end waits for clients, and for withdrawals under way. Ruled out: a stale kept connection. The first scenario on it raced with itself; with an orderly close seen through, nothing is sent on such a connection.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -53,11 +53,11 @@
 	ctx     context.Context // ends when the connection should close once it idles
 	release context.CancelFunc
 	idle    atomic.Int64 // since when no request is under way; 0: one is
-	fresh   bool         // no request has come yet
 }
 
 func newClient(n *Node, conn net.Conn) *client {
-	c := &client{node: n, conn: conn, read: http1.NewReader(conn), answers: make(chan scheduler.Answer, 1), fresh: true}
+	c := &client{node: n, conn: conn, read: http1.NewReader(conn)}
+	c.answers = make(chan scheduler.Answer, 1)
 	c.ctx, c.release = context.WithCancel(n.ctx)
 	c.idle.Store(int64(n.now()))
 	return c
@@ -68,6 +68,7 @@
 	defer func() {
 		c.release()
 		c.conn.Close()
+		n.serving.Done()
 		<-n.slots
 		n.post(closed{c})
 	}()
@@ -86,7 +87,6 @@
 		if next, goOn = c.one(); !goOn {
 			return
 		}
-		c.fresh = false
 		c.idle.Store(int64(n.now()))
 	}
 }
@@ -146,7 +146,8 @@
 }
 
 func (c *client) bad(at scheduler.Micros, r *http1.Request, status int, why string) bool {
-	c.node.log.Warn("bad request", "from", c.conn.RemoteAddr().String(), "txn", r.Header.Get("X-Txn"), "why", why)
+	from, id := c.conn.RemoteAddr().String(), r.Header.Get("X-Txn")
+	c.node.log.Warn("bad request", "from", from, "txn", id, "why", why)
 	return c.write(at, status, r.Close, "", []byte(why+"\n"))
 }
 
@@ -170,12 +171,6 @@
 		}
 		return c.begin(), true
 	}
-	// The last slots are for callbacks: without them nothing that runs would end.
-	if c.fresh && len(n.slots) > cap(n.slots)-n.reserve {
-		n.log.Warn("short on connections: a newcomer's job is refused", "txn", id)
-		c.write(at, 503, true, retryAfter(0), nil)
-		return nil, false
-	}
 	const mostMs = 1 << 40 // keeps the sum from running over
 	s := scheduler.Submitted{Caller: scheduler.Caller(lastCaller.Add(1)), ID: id,
 		Class: class(r), Tenant: r.Header.Get("X-Org"), Deadline: at + scheduler.Micros(min(ms, mostMs))*1000,
@@ -246,13 +241,14 @@
 }
 
 // write sends an answer in one piece. It tells whether the connection can go on.
-func (c *client) write(deadline scheduler.Micros, status int, last bool, retryAfter string, body []byte) bool {
+func (c *client) write(deadline scheduler.Micros, status int, last bool, retry string,
+	body []byte) bool {
 	connection := ""
 	if last {
 		connection = "close"
 	}
 	b := http1.AppendResponse(make([]byte, 0, 256+len(body)), status,
-		[]http1.Field{{Name: "Retry-After", Value: retryAfter}, {Name: "Connection", Value: connection}}, body)
+		[]http1.Field{{Name: "Retry-After", Value: retry}, {Name: "Connection", Value: connection}}, body)
 	c.conn.SetWriteDeadline(c.node.at(deadline).Add(writeSlack))
 	_, err := c.conn.Write(b)
 	return err == nil && !last
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,7 +38,7 @@
 
 const (
 	inboxSize = 1024
-	lastWords = 500 * time.Millisecond // from Exit on, to write out what was answered
+	lastWords = 500 * time.Millisecond // for withdrawals, then for answers, once nothing is owed
 )
 
 // Node is one scheduler on sockets. Everything below its inbox belongs to the loop.
@@ -52,7 +52,7 @@
 
 	ctx      context.Context // ends with the loop
 	end      context.CancelFunc
-	work     sync.WaitGroup // connections and their goroutines
+	serving  sync.WaitGroup // client connections
 	sched    *scheduler.Scheduler
 	effects  []scheduler.Effect
 	timer    *time.Timer
@@ -65,9 +65,10 @@
 	open     int // links
 	mostOpen int
 	slots    chan struct{} // one taken for each client connection
-	reserve  int           // slots that callbacks alone may take
+	reserve  int           // slots that those who wait for an answer may not take
 	panics   int
-	exiting  bool
+	calls    int              // withdrawals under way
+	leave    <-chan time.Time // set once nothing is owed; then it is over at the latest
 }
 
 // Listen opens the client address. Nothing is accepted until Run.
@@ -126,9 +127,12 @@
 	err := n.step(scheduler.Began{Known: n.cfg.Known})
 	n.log.Info("serving", "name", n.cfg.Name, "listen", n.Addr().String(), "discovery", n.cfg.Discovery,
 		"regions", len(n.cfg.Known.Regions))
+	n.serving.Add(1) // the acceptor counts as one, so that none is added behind the last
 	n.spawn(n.accept)
-	for err == nil && !n.exiting {
+	for err == nil && (n.leave == nil || n.calls > 0) {
 		select {
+		case <-n.leave:
+			return nil
 		case m := <-n.inbox:
 			err = n.handle(m)
 		case <-n.timer.C:
@@ -138,12 +142,10 @@
 	return err
 }
 
-// spawn runs a goroutine that the node waits for at its end. A panic in it costs
-// what that goroutine serves, not the process.
+// spawn runs a goroutine that ends with the node. A panic in it costs what that
+// goroutine serves, not the process.
 func (n *Node) spawn(f func()) {
-	n.work.Add(1)
 	go func() {
-		defer n.work.Done()
 		defer n.caught("a connection broke down")
 		f()
 	}()
@@ -161,7 +163,7 @@
 	n.listener.Close()
 	written := make(chan struct{})
 	go func() {
-		n.work.Wait()
+		n.serving.Wait()
 		close(written)
 	}()
 	for c := range n.clients {
@@ -180,6 +182,12 @@
 	case opened:
 		n.clients[m.client] = true
 	case submission:
+		// The last slots are for callbacks: without them nothing that runs would end.
+		if len(n.callers) >= cap(n.slots)-n.reserve {
+			n.log.Warn("short on connections: a job is refused", "txn", m.ID)
+			m.client.answers <- scheduler.Answer{Verdict: scheduler.Refused, Last: true}
+			return nil
+		}
 		n.callers[m.Caller] = m.client
 		return n.step(m.Submitted)
 	case closed:
@@ -263,7 +271,9 @@
 			c.release()
 		}
 	case scheduler.Exit:
-		n.exiting = true
+		if n.leave == nil {
+			n.leave = time.After(lastWords)
+		}
 	case scheduler.Log:
 		n.log.Info(e.Text, e.Args...)
 	}
@@ -286,6 +296,7 @@
 const pauseAfterAcceptError = 20 * time.Millisecond
 
 func (n *Node) accept() {
+	defer n.serving.Done()
 	for {
 		select {
 		case n.slots <- struct{}{}:
@@ -311,6 +322,7 @@
 			continue
 		}
 		c := newClient(n, conn)
+		n.serving.Add(1)
 		n.post(opened{c})
 		n.spawn(c.serve)
 	}
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,452 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"dahliaford"
+	"dahliaford/internal/http1"
+	"dahliaford/internal/scenario"
+	"dahliaford/internal/scheduler"
+	"dahliaford/internal/settings"
+)
+
+const testSettings = `{"balancers":1,"me":0,"granularity":2000,"azs":["north"],"kinds":["m1"],
+	"grades":[
+	{"name":"post","semantics":"at_most_once","slo":2000000,"deadline":30000000,"worth":2},
+	{"name":"batch","semantics":"deduplicated","dedup_scope":"cell","memory_span":30000000,
+	 "slo":2000000,"deadline":30000000,"worth":3}],
+	"customers":[{"name":"sahel"}],
+	"family_info":{"class_stretch":[2,2.5],"tells_start":true},"discovery":"on_request",
+	"limits":{"attempts_cap":4,"cancel":true,"connect_timeout":5000000,"max_retry_after":2000000,
+	 "conn_idle":60000000},
+	"guarantees":{"cold":8000000,"cold_from":0.3,"fall":2000000,"overload_factor":4,"ask_within":10000000}}`
+
+const patience = 20 * time.Second // before a test that waits in vain fails
+
+// world is a node with parties on loopback sockets. Clients are c1, c2, ...; regions
+// r1, r2, ...; rdown is a region that nobody listens for.
+type world struct {
+	node    *Node
+	done    chan error
+	parties map[string]*party
+}
+
+// party is one end of sockets: a client dials the node once, a server listens.
+type party struct {
+	w        *world
+	name     string
+	listener net.Listener
+	conn     net.Conn     // the one that text was last seen on
+	heard    chan message // what reached the party
+}
+
+type message struct {
+	text string
+	conn net.Conn
+}
+
+func newWorld(t *testing.T, sockets int, regions ...string) *world {
+	t.Helper()
+	set, err := settings.Parse([]byte(testSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &world{done: make(chan error, 1), parties: map[string]*party{}}
+	var lines []string
+	for _, name := range regions {
+		lines = append(lines, regionLine(name, w.serve(t, name).Addr().String()))
+	}
+	known, err := DecodeTable([]byte(`{"rev":4,"all":true,"targets":[` + strings.Join(lines, ",") + `]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	w.node, err = Listen(Config{Name: "n", Listen: "127.0.0.1:0", Sockets: sockets, Known: known, Settings: set,
+		Discovery: w.serve(t, "discovery").Addr().String()}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { w.done <- w.node.Run() }()
+	t.Cleanup(func() {
+		w.node.Stop()
+		for _, p := range w.parties {
+			if p.conn != nil {
+				p.conn.Close() // clients that still wait leave, so the node can end
+			}
+		}
+		if w.Wait("end") != nil {
+			t.Error("the node does not end")
+		}
+	})
+	return w
+}
+
+func regionLine(name, addr string) string {
+	return `{"uid":"` + name + `","endpoint":"` + addr + `","az":"north","model":"m1","state":"ready"}`
+}
+
+// serve opens the listener of a region or of discovery.
+func (w *world) serve(t *testing.T, name string) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := w.newParty(name)
+	p.listener = l
+	if name == "rdown" {
+		l.Close()
+		return l
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go p.listen(conn, func(r *http1.Reader) (string, error) {
+				m, err := r.Request()
+				if err != nil {
+					return "", err
+				}
+				text := m.Method + " " + m.Target
+				if m.Method == "POST" {
+					text += fmt.Sprintf(" txn=%s key=%s body=%s", m.Header.Get("X-Txn"),
+						m.Header.Get("Idempotency-Key"), m.Body)
+				}
+				return text, nil
+			})
+		}
+	}()
+	return l
+}
+
+func (w *world) newParty(name string) *party {
+	p := &party{w: w, name: name, heard: make(chan message, 100)}
+	w.parties[name] = p
+	return p
+}
+
+func (p *party) listen(conn net.Conn, read func(*http1.Reader) (string, error)) {
+	defer conn.Close()
+	for r := http1.NewReader(conn); ; {
+		text, err := read(r)
+		if err != nil {
+			p.heard <- message{"end", conn}
+			return
+		}
+		p.heard <- message{text, conn}
+	}
+}
+
+func (w *world) Party(name string) scenario.Party {
+	if name == "node" {
+		return stopper{w.node}
+	}
+	p := w.parties[name]
+	if p == nil {
+		p = w.newParty(name)
+	}
+	return p
+}
+
+// stopper is the node as the party that is told to stop.
+type stopper struct{ *Node }
+
+func (s stopper) Send(string) error { s.Stop(); return nil }
+func (s stopper) Expect(string) (string, error) {
+	return "", errors.New("the node is seen by its peers")
+}
+func (s stopper) Close(string) error { return errors.New("the node ends when it has stopped") }
+
+// Wait knows one thing to wait for: the end of the node.
+func (w *world) Wait(text string) error {
+	if text != "end" {
+		return errors.New("here only the end is waited for")
+	}
+	select {
+	case err := <-w.done:
+		w.done <- err
+		return err
+	case <-time.After(patience):
+		return errors.New("no end")
+	}
+}
+
+// Send writes a message: " | " parts its lines, and a body follows " || ".
+func (p *party) Send(text string) error {
+	if p.conn == nil && p.listener == nil {
+		conn, err := net.Dial("tcp", p.w.node.Addr().String())
+		if err != nil {
+			return err
+		}
+		p.conn = conn
+		go p.listen(conn, func(r *http1.Reader) (string, error) {
+			m, err := r.Response()
+			if err != nil {
+				return "", err
+			}
+			text := fmt.Sprint(m.Status)
+			if after := m.Header.Get("Retry-After"); after != "" {
+				text += " after " + after
+			}
+			if m.Close {
+				text += " close"
+			}
+			return strings.TrimSpace(text + " " + string(m.Body)), nil
+		})
+	}
+	if p.name == "discovery" {
+		if text == "head" {
+			text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+		} else {
+			text = strings.ReplaceAll(text, "/n", "\n")
+			text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+		}
+		_, err := io.WriteString(p.conn, text)
+		return err
+	}
+	head, body, framed := strings.Cut(text, " || ")
+	if strings.HasPrefix(head, "job ") {
+		words := strings.Fields(head)
+		head = "POST /" + words[1] + "/7?a=b | X-Txn: " + words[2] + " | X-Lane: " + words[1] +
+			" | X-Org: sahel | X-Remaining-Ms: 30000 | Idempotency-Key: k"
+		if len(words) > 3 {
+			head += " " + strings.Join(words[3:], " ")
+		}
+	}
+	if p.listener != nil {
+		head = "HTTP/1.1 " + head
+	} else if !strings.Contains(head, "HTTP/") {
+		line, rest, _ := strings.Cut(head, " | ")
+		head = strings.TrimSuffix(line+" HTTP/1.1 | "+rest, " | ")
+	}
+	if framed || p.listener != nil {
+		head += fmt.Sprintf(" | Content-Length: %d", len(body))
+	}
+	_, err := io.WriteString(p.conn, strings.ReplaceAll(head, " | ", "\r\n")+"\r\n\r\n"+body)
+	return err
+}
+
+func (p *party) Expect(string) (string, error) {
+	select {
+	case m := <-p.heard:
+		p.conn = m.conn
+		return m.text, nil
+	case <-time.After(patience):
+		return "", errors.New("nothing came")
+	}
+}
+
+// Close ends the connection that was last heard from: with a reset, or in order. A
+// server then hears "end" once the node has closed its side, too.
+func (p *party) Close(text string) error {
+	conn := p.conn.(*net.TCPConn)
+	switch {
+	case p.listener == nil:
+		p.conn = nil
+	case text != "reset":
+		return conn.CloseWrite()
+	default:
+		if err := conn.SetLinger(0); err != nil {
+			return err
+		}
+	}
+	return conn.Close()
+}
+
+func play(t *testing.T, w *world, script string) {
+	t.Helper()
+	scenario.Run(t, w, script, func(want, got string) string { return cmp.Diff(want, got) })
+}
+
+func TestScenarios(t *testing.T) {
+	const atRegion = `
+		r1 expect POST /post/7?a=b txn=a1 key=k body=work`
+	const sent = `
+		c1 send job post a1 || work` + atRegion
+	const done = `
+		back send POST /callback || {"id":"a1","from":"r1","state":"done","result":"it \"ran\""}
+		back expect 204
+		c1 expect 200 it "ran"`
+	for name, script := range map[string]string{
+		"a job is served, and the connection serves the next": sent + `
+			r1 send 202 OK` + done + `
+			c1 send job post a2 || more
+			r1 expect POST /post/7?a=b txn=a2 key=k body=more`,
+		"callbacks before the 202, and again": sent + `
+			back send POST /callback || {"id":"a1","from":"r1","state":"started"}
+			back expect 204` + done + `
+			back send POST /callback || {"id":"a1","from":"r1","state":"done","result":"other"}
+			back expect 204
+			r1 send 202 OK
+			c1 send GET /_health
+			c1 expect 200`,
+		"the connection may end after the 202": sent + `
+			r1 send 202 OK
+			back send POST /callback || {"id":"a1","from":"r1","state":"started"}
+			back expect 204
+			r1 close` + done,
+		"a reset before the 202 is no short-on-capacity reply": sent + `
+			r1 close reset
+			c1 expect 500`,
+		"nor is an error": sent + `
+			r1 send 500 Broken
+			c1 expect 500`,
+		"a region's refusal is passed on to nobody": sent + `
+			r1 send 503 Full | X-Turned-Away: 1
+			r1 expect POST /post/7?a=b txn=a1 key=k body=work
+			r1 send 202 OK` + done,
+		"a refusal without the mark may have run": sent + `
+			r1 send 503 Full
+			c1 expect 500`,
+		"nothing is sent again on a kept connection that ended": sent + `
+			r1 send 202 OK` + done + `
+			r1 close
+			r1 expect end
+			c1 send job post a2 || more
+			r1 expect POST /post/7?a=b txn=a2 key=k body=more
+			r1 close reset
+			c1 expect 500`,
+		"a client that leaves before the 202": sent + `
+			c1 close
+			r1 expect end`,
+		"a client that leaves after it": sent + `
+			r1 send 202 OK
+			back send POST /callback || {"id":"a1","from":"r1","state":"started"}
+			back expect 204
+			c1 close
+			r1 expect DELETE /jobs/a1
+			r1 send 200 OK`,
+		"a client that sends ahead waits its turn": sent + `
+			c1 send GET /_health
+			r1 send 202 OK` + done + `
+			c1 expect 200`,
+		"the class may stand in the path alone": `
+			c1 send POST /post/7?a=b | X-Txn: a1 | X-Org: sahel | X-Remaining-Ms: 30000 | Idempotency-Key: k || work` +
+			atRegion,
+		"callbacks that concern nobody": `
+			back send POST /callback || {"id":"zz","from":"r1","state":"done","result":""}
+			back expect 204
+			back send POST /callback || {"id":"zz","state":"news"}
+			back expect 204
+			back send POST /callback || {"id":
+			back expect 400 callback: EOF`,
+		"bad requests get a clear answer, and the connection goes on": `
+			c1 send POST /post/7 | X-Lane: post | X-Org: sahel | X-Remaining-Ms: 900
+			c1 expect 400 no X-Txn
+			c1 send POST /post/7 | X-Txn: a1 | X-Lane: post | X-Org: sahel
+			c1 expect 400 no X-Remaining-Ms
+			c1 send POST /post/7 | X-Txn: a1 | X-Lane: post | X-Org: sahel | X-Remaining-Ms: soon
+			c1 expect 400 malformed X-Remaining-Ms
+			c1 send POST /post/7 | X-Txn: a1 | X-Lane: mail | X-Org: sahel | X-Remaining-Ms: 900
+			c1 expect 400 unknown class "mail"
+			c1 send POST /post/7 | X-Txn: a1 | X-Lane: post | X-Org: gabes | X-Remaining-Ms: 900
+			c1 expect 400 unknown tenant "gabes"
+			c1 send GET /post/7 | X-Txn: a1
+			c1 expect 405 jobs come by POST` + sent,
+		"a client without time is answered at once": `
+			c1 send POST /post/7 | X-Txn: a1 | X-Lane: post | X-Org: sahel | X-Remaining-Ms: 0
+			c1 expect 503 after 0`,
+		"a head that is malformed": `
+			c1 send nonsense | X-Txn: a1
+			c1 expect 400 close malformed request line
+			c1 expect end`,
+		"a body that is too long": `
+			c1 send POST /post/7 | X-Txn: a1 | Content-Length: 65537
+			c1 expect 413 close body over 65536 bytes
+			c1 expect end`,
+		"the table changes, however its objects are split": `
+			discovery expect GET /catalog/members?watch=1&from=4
+			discovery send head
+			discovery send {"rev":5,"all":false,"tar
+			discovery send gets":[{"uid":"r1","endpoint":"x","az":"north","model":"m1","state":"draining"}]}/n
+			discovery send /n
+			discovery send {"rev":6,"all":false,"targets":[]}/n
+			discovery close
+			discovery expect end
+			discovery expect GET /catalog/members?watch=1&from=6
+			c1 send job post a1 || work
+			c1 expect 503 after 0`,
+		"discovery that refuses is asked again": `
+			discovery expect GET /catalog/members?watch=1&from=4
+			discovery close
+			discovery expect end
+			discovery expect GET /catalog/members?watch=1&from=4`,
+		"a stopping node still hears callbacks, refuses the new, and ends": sent + `
+			r1 send 202 OK
+			idle send GET /_health
+			idle expect 200
+			node send stop
+			idle expect end
+			c2 send job post a2 || more
+			c2 expect 503 after 0 close` + strings.Replace(done, "200 it", "200 close it", 1) + `
+			wait end`,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			play(t, newWorld(t, 0, "r1"), script)
+		})
+	}
+}
+
+// A region that nobody reaches never ran the job: it goes elsewhere.
+func TestUnreachedRegion(t *testing.T) {
+	play(t, newWorld(t, 0, "rdown", "r2"), `
+		c1 send job post a1 || one
+		c2 send job post a2 || two
+		c3 send job post a3 || three
+		r2 expect POST /post/7?a=b txn=a1 key=k body=one`)
+}
+
+// At the socket budget idle connections make room, newcomers' jobs are refused while
+// all are busy, and callbacks get through.
+func TestSocketBudget(t *testing.T) {
+	w := newWorld(t, leastSockets, "r1")
+	script := ""
+	for i := range cap(w.node.slots) * 2 {
+		script += fmt.Sprintf("idle%d send GET /_health\nidle%d expect 200\n", i, i)
+	}
+	// Asking for the close itself makes the answer the same at every pace.
+	script += "c0 send job post a0 | Connection: close || x\nr1 expect POST /post/7?a=b txn=a0 key=k body=x\n"
+	most := cap(w.node.slots) - w.node.reserve
+	for i := 1; i < most; i++ {
+		script += fmt.Sprintf("c%d send job post a%d || x\n", i, i)
+		script += fmt.Sprintf("last%d send GET /_health\nlast%d expect 200\n", i, i)
+	}
+	play(t, w, script+`
+		more send job post b || x
+		more expect 503 after 0 close
+		r1 send 202 OK
+		back send POST /callback || {"id":"a0","from":"r1","state":"done","result":"yes"}
+		back expect 204
+		c0 expect 200 close yes`)
+}
+
+func TestLinesOfARealTable(t *testing.T) {
+	got, err := DecodeTable([]byte(`{"rev":41,"all":true,"new":[1],"targets":[{"uid":"s-1","endpoint":"h:1",
+		"az":"a","model":"m2","pod_group":3,"state":"gone","capacity_hint":1.0,"boot_ms":1700000000123}]}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := got.Regions[0]
+	want := scheduler.Region{UID: "s-1", Addr: "h:1", Zone: "a", Kind: "m2", Cell: 3,
+		Status: dahliaford.Gone, Started: 1700000000123000}
+	if diff := cmp.Diff(want, r); diff != "" {
+		t.Error(diff)
+	}
+	for _, bad := range []string{`{"rev":"x"}`, `{"targets":[{"state":"odd"}]}`, `{`, `[]`} {
+		if _, err := DecodeTable([]byte(bad)); err == nil {
+			t.Errorf("%s: taken", bad)
+		}
+	}
+}
--- a/internal/node/region.go
+++ b/internal/node/region.go
@@ -147,7 +147,9 @@
 func (n *Node) withdraw(w scheduler.Withdraw) {
 	if _, ok := n.assign(w.Addr, errand{id: w.ID, writeBy: w.Deadline, deadline: w.Deadline}); !ok {
 		n.log.Warn("short on connections: a job is not withdrawn", "txn", w.ID)
+		return
 	}
+	n.calls++
 }
 
 func (n *Node) linkWrote(m wrote) error {
@@ -188,6 +190,7 @@
 	delete(n.tasks, task)
 	n.log.Info("connection to a region failed", "region", l.addr, "txn", l.id, "sent", l.written, "error", cause)
 	if task == 0 {
+		n.calls--
 		return nil
 	}
 	return n.step(scheduler.Ended{Task: task, Outcome: o})
@@ -208,6 +211,7 @@
 	}
 	switch {
 	case task == 0:
+		n.calls--
 		if m.Status >= 300 && m.Status != 404 {
 			n.log.Warn("withdrawal not taken", "region", l.addr, "txn", l.id, "status", m.Status)
 		}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -74,7 +74,8 @@
 			say(e.Addr, "withdrawn %s", e.ID)
 		case Answer:
 			verdict := [...]string{"served", "refused", "failed", "invalid", "conflict"}[e.Verdict]
-			say(w.callers[e.Caller], "%s%s%s", verdict, spaced(string(e.Body)), spaced(map[bool]string{true: "last"}[e.Last]))
+			last := map[bool]string{true: "last"}[e.Last]
+			say(w.callers[e.Caller], "%s%s%s", verdict, spaced(string(e.Body)), spaced(last))
 		case Watch:
 			say("discovery", "watch from %d", e.Rev)
 		case Retire:
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -90,7 +90,8 @@
 }
 
 var groups = map[string]dahliaford.Group{
-	"all": dahliaford.GroupAll, "zone": dahliaford.GroupZone, "cell": dahliaford.GroupCell, "": dahliaford.GroupCell,
+	"all": dahliaford.GroupAll, "zone": dahliaford.GroupZone,
+	"cell": dahliaford.GroupCell, "": dahliaford.GroupCell,
 }
 
 // Parse reads the settings object. What is absent gets the value that promises
@@ -129,9 +130,9 @@
 		if !known {
 			return all, fmt.Errorf("settings: grades[%d].dedup_scope: unknown value %q", i, g.DedupScope)
 		}
-		c := dahliaford.Class{Aim: dahliaford.Micros(g.SLO), Deadline: dahliaford.Micros(g.Deadline), Worth: g.Worth,
-			LateWorth: g.LateWorth, Effect: effect, Group: group, Window: dahliaford.Micros(g.MemorySpan),
-			Stream: g.Stream, Kind: -1}
+		c := dahliaford.Class{Aim: dahliaford.Micros(g.SLO), Deadline: dahliaford.Micros(g.Deadline),
+			Worth: g.Worth, LateWorth: g.LateWorth, Effect: effect, Group: group,
+			Window: dahliaford.Micros(g.MemorySpan), Stream: g.Stream, Kind: -1}
 		if i < len(p.FamilyInfo.ClassStretch) {
 			c.Stretch = p.FamilyInfo.ClassStretch[i]
 		}
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -240,7 +240,8 @@
 }
 
 var outcomes = map[int]dahliaford.Outcome{
-	0: dahliaford.OK, 5: dahliaford.Failed, 11: dahliaford.Full, 110: dahliaford.TimedOut, 111: dahliaford.ConnectFailed,
+	0: dahliaford.OK, 5: dahliaford.Failed, 11: dahliaford.Full, 110: dahliaford.TimedOut,
+	111: dahliaford.ConnectFailed,
 	104: dahliaford.Reset, 125: dahliaford.Cancelled, 114: dahliaford.Moot,
 }
 
