Retire idle connections on time, fail aloud when the module is beyond repair

Lines at fault: assign() looked at one address only, step() returned before the effects of Recover were carried out, apply() kept the larger version. Also: the soft memory limit follows limits.memory_mb; the configuration's mistakes have a test each.

--- a/cmd/dahliaford/config.go
+++ b/cmd/dahliaford/config.go
@@ -61,7 +61,7 @@
 		case "seed":
 			seed = in.String()
 		case "limits":
-			cfg.Sockets = sockets(&in)
+			cfg.Sockets, cfg.MemoryMB = limits(&in)
 		case "known":
 			known = in.Raw()
 		case "settings":
@@ -91,18 +91,21 @@
 	return cfg, err
 }
 
-func sockets(in *jlexer.Lexer) (n int) {
+func limits(in *jlexer.Lexer) (sockets, memoryMB int) {
 	in.Delim('{')
 	for !in.IsDelim('}') && in.Error() == nil {
 		key := in.UnsafeFieldName(false)
 		in.WantColon()
-		if key == "sockets" {
-			n = in.Int()
-		} else {
+		switch key {
+		case "sockets":
+			sockets = in.Int()
+		case "memory_mb":
+			memoryMB = in.Int()
+		default:
 			in.SkipRecursive()
 		}
 		in.WantComma()
 	}
 	in.Delim('}')
-	return n
+	return sockets, memoryMB
 }
--- a/cmd/dahliaford/main.go
+++ b/cmd/dahliaford/main.go
@@ -13,8 +13,10 @@
 	"dahliaford/internal/node"
 )
 
-// softMemory makes the collector work harder well before the limit of 192 MB.
-const softMemory = 128 << 20
+const (
+	defaultMemory = 192 // MB
+	softShare     = 0.7 // of the limit: from there on the collector works harder
+)
 
 func main() {
 	if err := run(); err != nil {
@@ -25,11 +27,14 @@
 
 func run() error {
 	runtime.GOMAXPROCS(1) // one core is all that a scheduler gets
-	debug.SetMemoryLimit(softMemory)
 	cfg, err := configuration(os.Getenv)
 	if err != nil {
 		return err
 	}
+	if cfg.MemoryMB <= 0 {
+		cfg.MemoryMB = defaultMemory
+	}
+	debug.SetMemoryLimit(int64(softShare * float64(cfg.MemoryMB<<20)))
 	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
 	n, err := node.Listen(cfg, log)
 	if err != nil {
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -121,6 +121,9 @@
 	switch {
 	case path == healthPath:
 		status := 200
+		if n.draining.Load() {
+			status = 503
+		}
 		if r.Method != "GET" && r.Method != "HEAD" {
 			status = 405
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -5,11 +5,13 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"net"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"dahliaford/internal/scheduler"
@@ -22,7 +24,8 @@
 	Listen    string
 	Discovery string
 	Seed      uint64
-	Sockets   int // descriptors that the process may hold
+	Sockets   int // descriptors that the process may hold; 0: not told
+	MemoryMB  int // memory that it may take; 0: not told
 	Known     scheduler.Table
 	Settings  settings.Settings
 }
@@ -37,8 +40,9 @@
 )
 
 const (
-	inboxSize = 1024
-	lastWords = 500 * time.Millisecond // for withdrawals, then for answers, once nothing is owed
+	inboxSize  = 1024
+	sweepEvery = time.Second            // looks for region connections that have idled too long
+	lastWords  = 500 * time.Millisecond // for withdrawals, then for answers, once nothing is owed
 )
 
 // Node is one scheduler on sockets. Everything below its inbox belongs to the loop.
@@ -67,6 +71,7 @@
 	slots    chan struct{} // one taken for each client connection
 	reserve  int           // slots that those who wait for an answer may not take
 	panics   int
+	draining atomic.Bool      // no new transactions are taken: health says so
 	calls    int              // withdrawals under way
 	leave    <-chan time.Time // set once nothing is owed; then it is over at the latest
 }
@@ -123,6 +128,8 @@
 func (n *Node) Run() error {
 	n.timer = time.NewTimer(time.Hour)
 	defer n.timer.Stop()
+	sweep := time.NewTicker(sweepEvery)
+	defer sweep.Stop()
 	defer n.close()
 	err := n.step(scheduler.Began{Known: n.cfg.Known})
 	n.log.Info("serving", "name", n.cfg.Name, "listen", n.Addr().String(), "discovery", n.cfg.Discovery,
@@ -135,6 +142,8 @@
 			return nil
 		case m := <-n.inbox:
 			err = n.handle(m)
+		case <-sweep.C:
+			n.retireIdle()
 		case <-n.timer.C:
 			err = n.step(scheduler.Woke{})
 		}
@@ -213,22 +222,20 @@
 }
 
 // step passes one event to the scheduler and carries its effects out. After a panic
-// the scheduler is mended once; a second one soon after ends the program.
+// the scheduler is mended; too many of them end the program.
 func (n *Node) step(e scheduler.Event) error {
 	broken := n.reduce(e)
+	var err error
 	if broken {
-		if n.panics++; n.panics > mostPanics {
-			return fmt.Errorf("the decision module keeps breaking down")
-		}
-		var err error
-		if n.effects, err = n.sched.Recover(n.now()); err != nil {
-			return err
+		n.effects, err = n.sched.Recover(n.now())
+		if n.panics++; n.panics > mostPanics && err == nil {
+			err = errors.New("the decision module keeps breaking down")
 		}
 	}
-	for _, effect := range n.effects {
+	for _, effect := range n.effects { // after a panic, too: there are answers among them
 		n.carryOut(effect)
 	}
-	return nil
+	return err
 }
 
 const mostPanics = 10
@@ -267,6 +274,7 @@
 	case scheduler.Retire:
 		n.retire(e.Addr)
 	case scheduler.Close:
+		n.draining.Store(true)
 		for c := range n.clients {
 			c.release()
 		}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -388,6 +388,8 @@
 			idle expect 200
 			node send stop
 			idle expect end
+			front send GET /_health
+			front expect 503
 			c2 send job post a2 || more
 			c2 expect 503 after 0 close` + strings.Replace(done, "200 it", "200 close it", 1) + `
 			wait end`,
@@ -432,6 +434,32 @@
 		c0 expect 200 close yes`)
 }
 
+// A module that cannot be started anew ends the program aloud, not in silence.
+func TestModuleBeyondRepair(t *testing.T) {
+	set, _ := settings.Parse([]byte(testSettings))
+	n, err := Listen(Config{Listen: "127.0.0.1:0", Settings: set}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.sched = &scheduler.Scheduler{} // it has no module, and settings that none takes
+	if err := n.Run(); err == nil || !strings.Contains(err.Error(), "Classes") {
+		t.Errorf("got %v", err)
+	}
+}
+
+// A connection is let go before the region's idle limit, not used up to it.
+func TestIdleConnectionsAreRetired(t *testing.T) {
+	set, _ := settings.Parse([]byte(testSettings))
+	n := &Node{cfg: Config{Settings: set}, start: time.Now().Add(-time.Minute), links: map[string][]*link{}}
+	for _, since := range []scheduler.Micros{0, 11_000_000, 13_000_000} {
+		n.links["r"] = append(n.links["r"], &link{since: since, release: func() {}})
+	}
+	n.retireIdle()
+	if diff := cmp.Diff(1, len(n.links["r"])); diff != "" {
+		t.Error(diff)
+	}
+}
+
 func TestLinesOfARealTable(t *testing.T) {
 	got, err := DecodeTable([]byte(`{"rev":41,"all":true,"new":[1],"targets":[{"uid":"s-1","endpoint":"h:1",
 		"az":"a","model":"m2","pod_group":3,"state":"gone","capacity_hint":1.0,"boot_ms":1700000000123}]}`))
--- a/internal/node/region.go
+++ b/internal/node/region.go
@@ -63,16 +63,10 @@
 // assign gives an errand to an idle connection to a region, or to a new one. It
 // fails when there is no room for another connection.
 func (n *Node) assign(addr string, e errand) (*link, bool) {
-	idle := n.links[addr]
-	for len(idle) > 0 {
+	n.retireIdle()
+	if idle := n.links[addr]; len(idle) > 0 {
 		l := idle[len(idle)-1]
-		idle = idle[:len(idle)-1]
-		n.links[addr] = idle
-		// Idle for too long is too near the region's own limit.
-		if most := n.cfg.Settings.ConnIdle; most > 0 && float64(n.now()-l.since) > idleShare*float64(most) {
-			n.drop(l)
-			continue
-		}
+		n.links[addr] = idle[:len(idle)-1]
 		l.take(e)
 		return l, true
 	}
@@ -115,6 +109,19 @@
 	}
 }
 
+// retireIdle lets go connections that have idled so long that the region may close
+// them any moment: a request that crosses this would end as a reset.
+func (n *Node) retireIdle() {
+	most := scheduler.Micros(idleShare * float64(n.cfg.Settings.ConnIdle))
+	for addr, idle := range n.links {
+		for most > 0 && len(idle) > 0 && n.now()-idle[0].since > most {
+			n.drop(idle[0])
+			idle = idle[1:]
+		}
+		n.links[addr] = idle
+	}
+}
+
 // retire closes the idle connections to a region.
 func (n *Node) retire(addr string) {
 	for _, l := range n.links[addr] {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -348,6 +348,7 @@
 func (s *Scheduler) apply(t Table, scope dahliaford.ListScope) {
 	s.rev = max(s.rev, t.Rev)
 	if t.All {
+		s.rev = t.Rev // discovery may have started anew and count from below
 		for _, r := range s.regions {
 			r.Status = dahliaford.Gone
 		}
