--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -200,6 +200,9 @@
 			return nil, false
 		}
 	}
+	if answer.Verdict == scheduler.Invalid || answer.Verdict == scheduler.Conflict {
+		answer.Body = append(answer.Body, '\n') // a line for whoever reads it
+	}
 	last := r.Close || answer.Last || c.ctx.Err() != nil || len(n.slots) == cap(n.slots)
 	return next, c.write(s.Deadline, statuses[answer.Verdict], last, advice(answer), answer.Body)
 }
