Advise the longest wait once a job's aim has passed; answer what crosses a close

Seen: a refusal at level 0 advised no wait even when the aim had passed, so a client was invited back for nothing (dispatcher.go, finish). On reading the client side: a request that came as its idle connection was being released could be dropped after its first byte was read (client.go, serve), and connections to regions could pass their part of the descriptors by an eighth (region.go). Ruled out: holding the answer back; it leaves at the same moment as before.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -659,8 +659,8 @@
 		return
 	}
 	if refuse && d.mayRefuse(j) {
-		wait := Micros(0)
-		if d.level > 0 && (j.over || !d.inTime(j, 1)) {
+		wait, lost := Micros(0), d.now >= j.aim && d.set.Classes[j.class].LateWorth == 0
+		if lost || d.level > 0 && (j.over || !d.inTime(j, 1)) {
 			wait = d.set.MaxRetryAfter // a repeat now helps nobody; others may yet be in time
 		}
 		d.emit(Action{Kind: Refuse, Job: j.id, Wait: wait})
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -878,6 +878,11 @@
 		b.d.finish(j, true)
 		return b.d.out[0].Wait
 	}
+	b.d.finish(&job{id: 8, class: 2, aim: b.now}, true) // late answers earn nothing, and its aim has passed
+	b.want(b.d.out, Refuse, 1)
+	if b.d.out[0].Wait != b.d.set.MaxRetryAfter {
+		t.Errorf("its aim has passed: told to wait for %v", b.d.out[0].Wait)
+	}
 	for _, c := range []struct {
 		aim   Micros
 		over  bool
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -20,6 +20,8 @@
 
 	// readWithin is the longest that a request may take from its first byte on.
 	readWithin = 10 * time.Second
+	// crossing is how long a connection that is to be closed is still read.
+	crossing = 100 * time.Millisecond
 	// writeSlack is how long after a deadline an answer is still being written.
 	writeSlack = time.Second
 )
@@ -80,7 +82,12 @@
 				return
 			}
 		case <-c.ctx.Done():
-			return
+			// A request may cross our leave. What has come by now is still answered:
+			// closing on it would look like a job lost.
+			c.conn.SetReadDeadline(time.Now().Add(crossing))
+			if err := <-next; err != nil {
+				return
+			}
 		}
 		c.idle.Store(0)
 		var goOn bool
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -4,12 +4,15 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net"
 	"runtime/debug"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -287,16 +290,20 @@
 	}
 }
 
-// makeRoom closes the client connection that has idled longest.
+// makeRoom closes the client connections that have idled longest: a few at once, as
+// each takes a moment to see whether a request crosses.
 func (n *Node) makeRoom() {
-	var oldest *client
+	idle := map[*client]int64{}
 	for c := range n.clients {
-		if at := c.idle.Load(); at != 0 && (oldest == nil || at < oldest.idle.Load()) {
-			oldest = c
+		if at := c.idle.Load(); at != 0 && c.ctx.Err() == nil {
+			idle[c] = at
 		}
 	}
-	if oldest != nil {
-		oldest.release()
+	oldest := slices.SortedFunc(maps.Keys(idle), func(a, b *client) int {
+		return cmp.Compare(idle[a], idle[b])
+	})
+	for _, c := range oldest[:min(len(oldest), n.reserve)] {
+		c.release()
 	}
 }
 
--- a/internal/node/region.go
+++ b/internal/node/region.go
@@ -70,11 +70,11 @@
 		l.take(e)
 		return l, true
 	}
-	if n.open >= n.mostOpen {
+	if n.open >= n.mostOpen-n.mostOpen/8 { // early, as those let go take a moment to close
 		n.dropOldest()
-		if n.open >= n.mostOpen+n.mostOpen/8 { // those let go take a moment to close
-			return nil, false
-		}
+	}
+	if n.open >= n.mostOpen {
+		return nil, false
 	}
 	l := &link{node: n, addr: addr, errands: make(chan errand, 1)}
 	l.ctx, l.release = context.WithCancel(n.ctx)
