Give leave to send a body that waits for it; warn of what somebody should look at

Seen on reading the client side as a user of curl would: a client that sends Expect: 100-continue waits a second before its body (http1.go, Request), which a job's aim of 0.2 s does not allow. Lines of the reducer were all at level INFO, faults among them (scheduler.go, log). Tests: a scenario with the interim answer.

--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -48,6 +48,10 @@
 
 // Reader reads messages one after the other.
 type Reader struct {
+	// Continue, if set, is called before the body of a request whose sender waits for
+	// leave to send it.
+	Continue func()
+
 	limit io.LimitedReader
 	buf   *bufio.Reader
 	text  *textproto.Reader
@@ -84,6 +88,9 @@
 		return nil, wrong(505, "unsupported version")
 	}
 	r := &Request{Method: method, Target: target, Header: header, Close: closes(header, version)}
+	if m.Continue != nil && strings.EqualFold(header.Get("Expect"), "100-continue") {
+		m.Continue()
+	}
 	if r.Body, err = m.body(header, 0); err != nil {
 		return nil, err
 	}
@@ -113,23 +120,25 @@
 		if err != nil {
 			return nil, err
 		}
-		if r.Status < 200 {
-			continue
-		}
-		if r.Status == 204 || r.Status == 304 {
-			return r, nil
+		if r.Status >= 200 {
+			return r, m.Rest(r)
 		}
-		open := r.Header.Get("Content-Length") == "" && r.Header.Get("Transfer-Encoding") == ""
-		if open { // the body lasts as long as the connection
-			r.Close = true
-			r.Body, err = m.body(r.Header, MaxBody)
-		} else {
-			r.Body, err = m.body(r.Header, 0)
-		}
-		return r, err
 	}
 }
 
+// Rest reads the body that follows the head of a final response.
+func (m *Reader) Rest(r *Response) (err error) {
+	switch {
+	case r.Status == 204 || r.Status == 304:
+	case r.Header.Get("Content-Length") == "" && r.Header.Get("Transfer-Encoding") == "":
+		r.Close = true // the body lasts as long as the connection
+		r.Body, err = m.body(r.Header, MaxBody)
+	default:
+		r.Body, err = m.body(r.Header, 0)
+	}
+	return err
+}
+
 // Chunks is the chunked body that follows a head, read as it comes: it may go on
 // without an end.
 func (m *Reader) Chunks() io.Reader { return &chunks{m: m, endless: true} }
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -60,6 +60,10 @@
 func newClient(n *Node, conn net.Conn) *client {
 	c := &client{node: n, conn: conn, read: http1.NewReader(conn)}
 	c.answers = make(chan scheduler.Answer, 1)
+	c.read.Continue = func() {
+		conn.SetWriteDeadline(time.Now().Add(writeSlack))
+		io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n") // should it fail, so does the answer
+	}
 	c.ctx, c.release = context.WithCancel(n.ctx)
 	c.idle.Store(int64(n.now()))
 	return c
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -286,7 +286,11 @@
 			n.leave = time.After(lastWords)
 		}
 	case scheduler.Log:
-		n.log.Info(e.Text, e.Args...)
+		level := slog.LevelInfo
+		if e.Warn {
+			level = slog.LevelWarn
+		}
+		n.log.Log(n.ctx, level, e.Text, e.Args...)
 	}
 }
 
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -191,7 +191,10 @@
 		}
 		p.conn = conn
 		go p.listen(conn, func(r *http1.Reader) (string, error) {
-			m, err := r.Response()
+			m, err := r.Head()
+			if err == nil && m.Status != 100 {
+				err = r.Rest(m)
+			}
 			if err != nil {
 				return "", err
 			}
@@ -331,6 +334,10 @@
 			c1 send GET /_health
 			r1 send 202 OK` + done + `
 			c1 expect 200`,
+		"a client that waits for leave to send its body": `
+			c1 send GET /_health | Expect: 100-continue || x
+			c1 expect 100
+			c1 expect 200`,
 		"the class may stand in the path alone": `
 			c1 send POST /post/7?a=b | X-Txn: a1 | X-Org: sahel | X-Remaining-Ms: 30000 | Idempotency-Key: k || work` +
 			atRegion,
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -144,6 +144,7 @@
 	Exit struct{}
 	// Log is a line for the log.
 	Log struct {
+		Warn bool // somebody should look
 		Text string
 		Args []any
 	}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -218,7 +218,7 @@
 		return
 	}
 	s.emit(answer)
-	s.log("submission not taken", "txn", e.ID, "why", string(answer.Body))
+	s.warn("submission not taken", "txn", e.ID, "why", string(answer.Body))
 }
 
 // answer gives a transaction its one answer; any further one is dropped here.
@@ -313,7 +313,7 @@
 		// The module never asks for this. If it did, a send would break a rule.
 		s.feed(dahliaford.Event{Kind: dahliaford.AttemptEnded, Job: a.Job, Attempt: a.Attempt, Worker: a.Worker,
 			Outcome: dahliaford.Moot, Final: t == nil || t.answered})
-		s.log("send suppressed", "job", a.Job, "worker", a.Worker)
+		s.warn("send suppressed", "job", a.Job, "worker", a.Worker)
 		return
 	}
 	s.lastTask++
@@ -484,7 +484,7 @@
 			// The module answers before this. Should it ever not, the caller gets an
 			// answer all the same, and it is not told that a repeat is harmless.
 			if t := s.byCaller[d.caller]; t != nil {
-				s.log("no decision by the deadline", "txn", t.id)
+				s.warn("no decision by the deadline", "txn", t.id)
 				s.answer(t, Answer{Verdict: Failed})
 				s.tell(dahliaford.Event{Kind: dahliaford.ClientGone, Job: t.job})
 			}
@@ -528,6 +528,8 @@
 
 func (s *Scheduler) log(text string, args ...any) { s.emit(Log{Text: text, Args: args}) }
 
+func (s *Scheduler) warn(text string, args ...any) { s.emit(Log{Warn: true, Text: text, Args: args}) }
+
 // sorted lists the values of a map by key: the same events give the same effects.
 func sorted[K interface{ ~string | ~uint64 }, V any](m map[K]V) []V {
 	keys := make([]K, 0, len(m))
