Read the configuration again on SIGHUP and move the watch at once

Checked: nothing else is logged before the end; and configuration let BALANCER_DISCOVERY go before the file, so a handler alone would have stayed with the address that closes after 1.5 s.

Now a reload is an event of the reducer (Reloaded), which asks the new discovery for the whole table without waiting for the module. A broken file is logged and changes nothing.

--- a/cmd/dahliaford/config.go
+++ b/cmd/dahliaford/config.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"os"
+	"reflect"
 	"strconv"
 
 	"github.com/mailru/easyjson/jlexer"
@@ -13,8 +14,9 @@
 )
 
 // configuration reads the file that BALANCER_CONFIG names. The other variables,
-// where set, go before it.
-func configuration(env func(string) string) (node.Config, error) {
+// where set, go before it. On a reload the file alone says where discovery is: the
+// variables are as old as the process, and could never be replaced.
+func configuration(env func(string) string, reload bool) (node.Config, error) {
 	path := env("BALANCER_CONFIG")
 	if path == "" {
 		return node.Config{}, errors.New("BALANCER_CONFIG names no file")
@@ -30,7 +32,7 @@
 	for name, field := range map[string]*string{
 		"BALANCER_NAME": &cfg.Name, "BALANCER_LISTEN": &cfg.Listen, "BALANCER_DISCOVERY": &cfg.Discovery,
 	} {
-		if value := env(name); value != "" {
+		if value := env(name); value != "" && !(reload && name == "BALANCER_DISCOVERY") {
 			*field = value
 		}
 	}
@@ -91,6 +93,13 @@
 	return cfg, err
 }
 
+// fixed tells whether a configuration differs from the one that the process started
+// with in something that a reload does not apply.
+func fixed(old, now node.Config) bool {
+	return old.Name != now.Name || old.Listen != now.Listen || old.Sockets != now.Sockets ||
+		old.MemoryMB != now.MemoryMB || !reflect.DeepEqual(old.Settings, now.Settings)
+}
+
 func limits(in *jlexer.Lexer) (sockets, memoryMB int) {
 	in.Delim('{')
 	for !in.IsDelim('}') && in.Error() == nil {
--- a/cmd/dahliaford/config_test.go
+++ b/cmd/dahliaford/config_test.go
@@ -1,10 +1,13 @@
 package main
 
 import (
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
 )
@@ -12,9 +15,13 @@
 const good = `{"name":"n3","listen":"127.0.0.1:0","discovery":"127.0.0.1:1",
 	"seed":"8c1f30d27a5be964","new":{},
 	"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"known":{"rev":41,"all":true,"targets":[]},
-	"settings":{"grades":[{"name":"a","semantics":"idempotent","deadline":5}]}}`
+	"settings":{"discovery":"on_request","grades":[{"name":"a","semantics":"idempotent","deadline":5}]}}`
 
 func configured(t *testing.T, text string, env map[string]string) (string, error) {
+	return configuredOn(t, text, env, false)
+}
+
+func configuredOn(t *testing.T, text string, env map[string]string, reload bool) (string, error) {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
@@ -25,7 +32,7 @@
 			return path
 		}
 		return env[name]
-	})
+	}, reload)
 	read := append([]string{cfg.Name, cfg.Listen, cfg.Discovery}, cfg.Settings.Classes...)
 	return strings.Join(read, " "), err
 }
@@ -62,3 +69,60 @@
 		})
 	}
 }
+
+// On a reload the file says where discovery is, whatever the process was started with.
+func TestTheFileWinsOnAReload(t *testing.T) {
+	env := map[string]string{"BALANCER_NAME": "n4", "BALANCER_DISCOVERY": "127.0.0.1:9"}
+	for reload, want := range map[bool]string{false: "n4 127.0.0.1:0 127.0.0.1:9 a",
+		true: "n4 127.0.0.1:0 127.0.0.1:1 a"} {
+		got, err := configuredOn(t, good, env, reload)
+		if diff := cmp.Diff(want, got); diff != "" || err != nil {
+			t.Error(diff, err)
+		}
+	}
+}
+
+// SIGHUP goes over to the discovery that the file now names, more than once, and a
+// half-written file changes nothing: the next whole one does. SIGTERM still ends it.
+func TestSIGHUP(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	t.Setenv("BALANCER_CONFIG", path)
+	t.Setenv("BALANCER_DISCOVERY", "")
+	var half string
+	turn := func(signal syscall.Signal) net.Listener {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { l.Close() })
+		text := strings.Replace(good, "127.0.0.1:1", l.Addr().String(), 1)
+		for _, text := range []string{half, text} {
+			if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+			if signal != 0 {
+				syscall.Kill(os.Getpid(), signal)
+			}
+		}
+		half = text[:len(text)/2]
+		return l
+	}
+	first := turn(0)
+	done := make(chan error, 1)
+	go func() { done <- run() }()
+	asked := func(l net.Listener) {
+		l.(*net.TCPListener).SetDeadline(time.Now().Add(20 * time.Second))
+		conn, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		conn.Close()
+	}
+	asked(first)
+	asked(turn(syscall.SIGHUP))
+	asked(turn(syscall.SIGHUP))
+	syscall.Kill(os.Getpid(), syscall.SIGTERM)
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -127,6 +127,9 @@
 // Stop asks for an orderly end.
 func (n *Node) Stop() { n.post(scheduler.Stopping{}) }
 
+// Reload goes over to a new configuration. All that it applies is discovery's address.
+func (n *Node) Reload(cfg Config) { n.post(scheduler.Reloaded{Discovery: cfg.Discovery}) }
+
 // Run serves until an orderly end, or until the scheduler is beyond repair.
 func (n *Node) Run() error {
 	n.timer = time.NewTimer(time.Hour)
@@ -134,7 +137,7 @@
 	sweep := time.NewTicker(sweepEvery)
 	defer sweep.Stop()
 	defer n.close()
-	err := n.step(scheduler.Began{Known: n.cfg.Known})
+	err := n.step(scheduler.Began{Discovery: n.cfg.Discovery, Known: n.cfg.Known})
 	n.log.Info("serving", "name", n.cfg.Name, "listen", n.Addr().String(), "discovery", n.cfg.Discovery,
 		"regions", len(n.cfg.Known.Regions))
 	n.serving.Add(1) // the acceptor counts as one, so that none is added behind the last
@@ -273,7 +276,7 @@
 	case scheduler.Wake:
 		n.timer.Reset(time.Until(n.at(e.At)))
 	case scheduler.Watch:
-		n.openWatch(e.Rev)
+		n.openWatch(e)
 	case scheduler.Retire:
 		n.retire(e.Addr)
 	case scheduler.Close:
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -150,7 +150,7 @@
 
 func (w *world) Party(name string) scenario.Party {
 	if name == "node" {
-		return stopper{w.node}
+		return stopper{w.node, w}
 	}
 	p := w.parties[name]
 	if p == nil {
@@ -159,10 +159,20 @@
 	return p
 }
 
-// stopper is the node as the party that is told to stop.
-type stopper struct{ *Node }
+// stopper is the node as the party that is told to stop, or to reload.
+type stopper struct {
+	*Node
+	w *world
+}
 
-func (s stopper) Send(string) error { s.Stop(); return nil }
+func (s stopper) Send(text string) error {
+	if party, reload := strings.CutPrefix(text, "reload "); reload {
+		s.Reload(Config{Discovery: s.w.parties[party].listener.Addr().String()})
+	} else {
+		s.Stop()
+	}
+	return nil
+}
 func (s stopper) Expect(string) (string, error) {
 	return "", errors.New("the node is seen by its peers")
 }
@@ -208,7 +218,7 @@
 			return strings.TrimSpace(text + " " + string(m.Body)), nil
 		})
 	}
-	if p.name == "discovery" {
+	if strings.HasPrefix(p.name, "discovery") {
 		if text == "head" {
 			text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 		} else {
@@ -424,6 +434,27 @@
 		c1 expect 200 yes`)
 }
 
+// A reload moves the watch to the discovery that it names while a job runs, and
+// what the old one still says no longer counts.
+func TestReload(t *testing.T) {
+	w := newWorld(t, 0, "r1")
+	w.serve(t, "discovery2")
+	play(t, w, `
+		discovery expect GET /catalog/members?watch=1&from=4
+		discovery send head
+		c1 send job post a1 || work
+		r1 expect POST /post/7?a=b txn=a1 key=k body=work
+		node send reload discovery2
+		discovery expect end
+		discovery2 expect GET /catalog/members?watch=1&from=0
+		discovery2 close
+		discovery2 expect end
+		discovery2 expect GET /catalog/members?watch=1&from=0
+		back send POST /callback || {"id":"a1","from":"r1","state":"done","result":"yes"}
+		back expect 204
+		c1 expect 200 yes`)
+}
+
 // At the socket budget idle connections make room, newcomers' jobs are refused while
 // all are busy, and callbacks get through.
 func TestSocketBudget(t *testing.T) {
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -34,7 +34,7 @@
 }
 
 // openWatch opens a watch in place of the present one.
-func (n *Node) openWatch(rev int64) {
+func (n *Node) openWatch(w scheduler.Watch) {
 	if n.watch != nil {
 		n.watch()
 	}
@@ -44,7 +44,7 @@
 	number := n.watches
 	n.spawn(func() {
 		defer release()
-		err := n.follow(ctx, rev, func(e scheduler.Event) { n.post(tableWord{number, e}) })
+		err := n.follow(ctx, w, func(e scheduler.Event) { n.post(tableWord{number, e}) })
 		if ctx.Err() == nil {
 			n.log.Warn("watch of the service table lost", "error", err)
 			n.post(tableWord{number, scheduler.TableLost{}})
@@ -53,17 +53,17 @@
 }
 
 // follow reads one watch until it ends.
-func (n *Node) follow(ctx context.Context, rev int64, say func(scheduler.Event)) error {
+func (n *Node) follow(ctx context.Context, w scheduler.Watch, say func(scheduler.Event)) error {
 	dialer := net.Dialer{Deadline: time.Now().Add(answerWithin), KeepAlive: -1}
-	conn, err := dialer.DialContext(ctx, "tcp", n.cfg.Discovery)
+	conn, err := dialer.DialContext(ctx, "tcp", w.Addr)
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
 	defer context.AfterFunc(ctx, func() { conn.SetDeadline(time.Now()) })()
 	conn.SetDeadline(dialer.Deadline)
-	target := membersPath + "?watch=1&from=" + strconv.FormatInt(rev, 10)
-	ask := http1.AppendRequest(nil, "GET", target, []http1.Field{{Name: "Host", Value: n.cfg.Discovery}}, nil)
+	target := membersPath + "?watch=1&from=" + strconv.FormatInt(w.Rev, 10)
+	ask := http1.AppendRequest(nil, "GET", target, []http1.Field{{Name: "Host", Value: w.Addr}}, nil)
 	if _, err := conn.Write(ask); err != nil {
 		return err
 	}
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -22,7 +22,12 @@
 // The events.
 type (
 	// Began comes once, before all others.
-	Began struct{ Known Table }
+	Began struct {
+		Discovery string // its address
+		Known     Table
+	}
+	// Reloaded says that a new configuration holds. Of it, discovery's address counts.
+	Reloaded struct{ Discovery string }
 	// Submitted is a new transaction.
 	Submitted struct {
 		Caller        Caller
@@ -62,6 +67,7 @@
 )
 
 func (Began) event()      {}
+func (Reloaded) event()   {}
 func (Submitted) event()  {}
 func (CallerLeft) event() {}
 func (Accepted) event()   {}
@@ -135,7 +141,10 @@
 	// Wake asks for Woke at a time. The latest one counts.
 	Wake struct{ At Micros }
 	// Watch opens a watch of the service table; an older one is dropped.
-	Watch struct{ Rev int64 }
+	Watch struct {
+		Addr string
+		Rev  int64 // what changed after it is asked for; 0: the whole table
+	}
 	// Retire closes idle connections to a region that left.
 	Retire struct{ Addr string }
 	// Close lets callers go that have nothing submitted.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -36,12 +36,13 @@
 	lastJob  dahliaford.JobID
 	lastTask Task
 
-	regions  map[string]*region
-	byNumber map[dahliaford.WorkerID]*region
-	zones    numbering
-	kinds    numbering
-	rev      int64
-	watching bool // discovery has answered the watch and not ended it
+	regions   map[string]*region
+	byNumber  map[dahliaford.WorkerID]*region
+	zones     numbering
+	kinds     numbering
+	discovery string
+	rev       int64
+	watching  bool // discovery has answered the watch and not ended it
 
 	due      dues
 	wake     Micros // what the last Wake asked for; 0: nothing
@@ -110,7 +111,10 @@
 	s.now, s.out = now, out
 	switch e := e.(type) {
 	case Began:
+		s.discovery = e.Discovery
 		s.begin(e.Known)
+	case Reloaded:
+		s.reloaded(e.Discovery)
 	case Submitted:
 		s.submitted(&e)
 	case CallerLeft:
@@ -345,6 +349,15 @@
 	s.apply(t, scope)
 }
 
+// reloaded goes over to the discovery that a new configuration names, at once and
+// unasked by the module: what it has to tell counts as told soon after, and the old
+// one ends. Another service may count its versions otherwise, so the old version
+// means nothing to it. The table that is known holds until it answers.
+func (s *Scheduler) reloaded(discovery string) {
+	s.discovery, s.rev, s.watching = discovery, 0, false
+	s.emit(Watch{Addr: s.discovery, Rev: s.rev})
+}
+
 func (s *Scheduler) apply(t Table, scope dahliaford.ListScope) {
 	s.rev = max(s.rev, t.Rev)
 	if t.All {
@@ -436,7 +449,7 @@
 			// only load discovery, so the module gets its answer here.
 			s.feed(dahliaford.Event{Kind: dahliaford.ListChanged, Scope: dahliaford.ListDelta})
 		} else {
-			s.emit(Watch{Rev: s.rev})
+			s.emit(Watch{Addr: s.discovery, Rev: s.rev})
 		}
 	case dahliaford.Log:
 		s.log(a.Text)
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -49,7 +49,7 @@
 	}
 	w := &world{s: s, now: 1000 * second, seen: map[string][]string{}, tasks: map[string]Task{},
 		regions: map[Task]string{}, callers: map[Caller]string{}}
-	w.step(Began{Known: Table{Rev: 1, All: true, Regions: []Region{line("r1", 1)}}})
+	w.step(Began{Discovery: "d1", Known: Table{Rev: 1, All: true, Regions: []Region{line("r1", 1)}}})
 	return w
 }
 
@@ -77,7 +77,7 @@
 			last := map[bool]string{true: "last"}[e.Last]
 			say(w.callers[e.Caller], "%s%s%s", verdict, spaced(string(e.Body)), spaced(last))
 		case Watch:
-			say("discovery", "watch from %d", e.Rev)
+			say("discovery", "watch %s from %d", e.Addr, e.Rev)
 		case Retire:
 			say(e.Addr, "retired")
 		case Close, Exit:
@@ -151,6 +151,8 @@
 			return nil
 		}
 		p.step(Stopping{})
+	case p.name == "discovery" && strings.HasPrefix(text, "reload "):
+		p.step(Reloaded{Discovery: words[1]})
 	case p.name == "discovery":
 		t := Table{Rev: 2}
 		for _, word := range words {
@@ -299,17 +301,30 @@
 			discovery send
 			r1 expect nothing`,
 		"a dead watch is opened again from where it stood": `
-			discovery expect watch from 1
+			discovery expect watch d1 from 1
 			discovery send r2=ready
 			discovery close
 			discovery expect nothing
 			wait 2s
-			discovery expect watch from 2`,
+			discovery expect watch d1 from 2`,
 		"a watch that lives is not opened twice": `
-			discovery expect watch from 1
+			discovery expect watch d1 from 1
 			discovery send
 			wait 60s
 			discovery expect nothing`,
+		"a reload asks another discovery for the whole table at once, and again": submit + `
+			discovery expect watch d1 from 1
+			discovery send r2=ready
+			discovery send reload d2
+			discovery expect watch d2 from 0
+			discovery close
+			wait 2s
+			discovery expect watch d2 from 0
+			discovery send
+			discovery send reload d3
+			discovery expect watch d3 from 0
+			r1 send done a1
+			c1 expect served result`,
 		"a stopping scheduler serves on, then refuses, and ends with the last answer": submit + begun + `
 			program send stop
 			wait 500ms
