Take an id once, and hold a region's 4xx against the request alone

The 400 counted as a failure of the region (region.go, linkAnswered): a batch went to four regions in a row, each getting nearer to being set aside, and took from the retries.

Now the reducer remembers ids for as long as a class waits, and a 4xx ends the transaction as invalid, blames no region and frees the id, as its owner may come later.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -319,6 +319,13 @@
 			r1 send 503 Full | X-Turned-Away: 1
 			r1 expect POST /post/7?a=b txn=a1 key=k body=work
 			r1 send 202 OK` + done,
+		"what a region rejects is the client's fault, and goes nowhere else": `
+			c1 send job batch a1 || work
+			r1 expect POST /batch/7?a=b txn=a1 key=k body=work
+			r1 send 400 Bad
+			c1 expect 400 the region cannot use it
+			c1 send job batch a2 || work
+			r1 expect POST /batch/7?a=b txn=a2 key=k body=work`,
 		"a refusal without the mark may have run": sent + `
 			r1 send 503 Full
 			c1 expect 500`,
--- a/internal/node/region.go
+++ b/internal/node/region.go
@@ -228,6 +228,10 @@
 	case (m.Status == 503 || m.Status == 504) && m.Header.Get("X-Turned-Away") == "1":
 		return n.step(scheduler.Ended{Task: task, Outcome: dahliaford.Full, Report: m.report})
 	}
+	if m.Status >= 400 && m.Status < 500 && m.Status != 429 {
+		n.log.Info("a region rejects a transaction", "region", l.addr, "txn", l.id, "status", m.Status)
+		return n.step(scheduler.Rejected{Task: task})
+	}
 	if m.Status != 500 {
 		n.log.Warn("unexpected answer of a region", "region", l.addr, "txn", l.id, "status", m.Status)
 	}
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -47,6 +47,9 @@
 		Outcome dahliaford.Outcome
 		Report  dahliaford.Report
 	}
+	// Rejected says that a region can make nothing of a routed task: not the region
+	// is at fault but the submission.
+	Rejected struct{ Task Task }
 	// Told is what a region says of a transaction on its own account. It may come
 	// early, late, or again.
 	Told struct {
@@ -72,6 +75,7 @@
 func (CallerLeft) event() {}
 func (Accepted) event()   {}
 func (Ended) event()      {}
+func (Rejected) event()   {}
 func (Told) event()       {}
 func (TableRead) event()  {}
 func (TableLost) event()  {}
@@ -179,5 +183,5 @@
 	Refused         // a short-on-capacity reply: trying again is harmless
 	Failed
 	Invalid  // the submission makes no sense; Body says why
-	Conflict // a transaction of that id is open
+	Conflict // a transaction of that id is open, or was a moment ago
 )
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -31,6 +31,8 @@
 
 	byCaller map[Caller]*transaction
 	byID     map[string]*transaction // open ones, and finished ones with a live task
+	used     recent                  // ids that were taken
+	longest  Micros                  // that a class waits
 	byJob    map[dahliaford.JobID]*transaction
 	byTask   map[Task]*task
 	lastJob  dahliaford.JobID
@@ -75,6 +77,27 @@
 	ended    bool
 }
 
+// recent holds the ids of the last while, for as long as a class waits at most and no
+// longer than twice that.
+type recent struct {
+	now, before map[string]bool
+	since       Micros
+}
+
+func (r *recent) has(id string) bool { return r.now[id] || r.before[id] }
+
+func (r *recent) add(id string, now, keep Micros) {
+	if r.now == nil || now-r.since > keep {
+		r.now, r.before, r.since = map[string]bool{}, r.now, now
+	}
+	r.now[id] = true
+}
+
+func (r *recent) drop(id string) {
+	delete(r.now, id)
+	delete(r.before, id)
+}
+
 type region struct {
 	Region
 	number  dahliaford.WorkerID
@@ -98,6 +121,9 @@
 	s := &Scheduler{set: set, seed: seed, byCaller: map[Caller]*transaction{}, byID: map[string]*transaction{},
 		byJob: map[dahliaford.JobID]*transaction{}, byTask: map[Task]*task{}, regions: map[string]*region{},
 		byNumber: map[dahliaford.WorkerID]*region{}, zones: slices.Clone(set.Zones), kinds: slices.Clone(set.Kinds)}
+	for _, c := range set.Module.Classes {
+		s.longest = max(s.longest, c.Deadline)
+	}
 	var err error
 	s.module, err = dahliaford.New(set.Module, seed)
 	return s, err
@@ -131,6 +157,12 @@
 		if k := s.byTask[e.Task]; k != nil && !k.accepted {
 			s.end(k, e.Outcome, e.Report)
 		}
+	case Rejected:
+		if k := s.byTask[e.Task]; k != nil && !k.accepted {
+			s.answer(k.of, Answer{Verdict: Invalid, Body: []byte("the region cannot use it")})
+			s.end(k, dahliaford.Cancelled, dahliaford.Report{})
+			s.used.drop(k.of.id) // an impostor may have come before the one whose id it is
+		}
 	case Told:
 		s.told(&e)
 	case TableRead:
@@ -209,11 +241,16 @@
 	case s.byID[e.ID] != nil:
 		// Callbacks name a transaction by its id alone: two of one id would mix.
 		answer.Verdict, answer.Body = Conflict, []byte("a transaction of that id is open")
+	case s.used.has(e.ID):
+		// Each transaction has an id of its own. Sent on, this one would be a second
+		// attempt of the first, or be turned away, which looks like a failing region.
+		answer.Verdict, answer.Body = Conflict, []byte("that id has been used")
 	case s.stopping():
 		s.emit(Answer{Caller: e.Caller, Verdict: Refused, Last: true})
 		return
 	default:
 		s.lastJob++
+		s.used.add(e.ID, s.now, s.longest)
 		t := &transaction{caller: e.Caller, id: e.ID, job: s.lastJob, deadline: e.Deadline, payload: e.Payload}
 		s.byCaller[e.Caller], s.byID[e.ID], s.byJob[t.job] = t, t, t
 		heap.Push(&s.due, due{at: t.deadline, caller: t.caller})
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -189,6 +189,8 @@
 		"unreached": dahliaford.ConnectFailed}
 	if outcome, ok := ends[word]; ok {
 		p.step(Ended{Task: p.tasks[id], Outcome: outcome})
+	} else if word == "rejected" {
+		p.step(Rejected{Task: p.tasks[id]})
 	} else if word == "accepted" {
 		p.step(Accepted{Task: p.tasks[id]})
 	} else {
@@ -286,6 +288,27 @@
 			c2 expect conflict a transaction of that id is open
 			r1 send done a1
 			c1 expect served result`,
+		"an id is not taken again once its transaction is over": submit + begun + `
+			r1 send done a1
+			c1 expect served result
+			c2 send a1 batch sahel 20s
+			c2 expect conflict that id has been used
+			r1 expect nothing`,
+		"a rejected transaction is at fault, not its region": `
+			c1 send b1 batch sahel 20s
+			r1 expect b1 payload written in 250ms done in 19.996s
+			r1 send rejected b1
+			c1 expect invalid the region cannot use it
+			c1 send b2 batch sahel 20s
+			r1 expect b2 payload written in 250ms done in 19.996s
+			r1 send rejected b2
+			c1 expect invalid the region cannot use it
+			c1 send b3 batch sahel 20s
+			r1 expect b3 payload written in 250ms done in 19.996s
+			r1 send rejected b3
+			c1 expect invalid the region cannot use it
+			c1 send b3 batch sahel 20s
+			r1 expect b3 payload written in 250ms done in 19.996s`,
 		"what makes no sense": `
 			c1 send a1 nothing sahel 5s
 			c1 expect invalid unknown class "nothing"
