Bound slow and silent clients and let strangers make room first

Callbacks and newcomers waited in the listener's queue until makeRoom (node.go) had closed a few of the longest idle, 100 ms each, and the longest idle are the usual clients' kept connections. A first request had 10 s from its first byte, and silence had no limit.

Now a first request has 2 s from the accept, a later one 5 s. Strangers go first, without the wait for a crossing request, then those that never brought a job or callback, and before the last slot is taken. Refused besides: blanks in header names, control bytes in the request line, repeated headers of a job, signed times. A body takes memory as it comes.

--- /dev/null
+++ b/cmd/dahliaford/log_test.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// Bad requests by the thousand must not make a line each; others are not hidden by them.
+func TestLogIsCalm(t *testing.T) {
+	var out bytes.Buffer
+	h := newCalm(slog.NewTextHandler(&out, nil))
+	say := func(text string, at int64) {
+		h.Handle(context.Background(), slog.NewRecord(time.Unix(at, 0), slog.LevelWarn, text, 0))
+	}
+	for range 1000 {
+		say("bad", 100)
+	}
+	say("other", 100)
+	say("bad", 106)
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	if diff := cmp.Diff(mostLines+2, len(lines)); diff != "" {
+		t.Fatal(diff)
+	}
+	if last := lines[mostLines+1]; !strings.HasSuffix(last, "left_out=980") {
+		t.Error(last)
+	}
+}
--- a/cmd/dahliaford/main.go
+++ b/cmd/dahliaford/main.go
@@ -43,7 +43,7 @@
 		memory = defaultMemory
 	}
 	debug.SetMemoryLimit(int64(softShare * float64(memory<<20)))
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil))
+	log := slog.New(newCalm(slog.NewTextHandler(os.Stderr, nil)))
 	n, err := node.Listen(cfg, log)
 	if err != nil {
 		return err
--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -82,11 +82,18 @@
 	method, rest, _ := strings.Cut(line, " ")
 	target, version, found := strings.Cut(rest, " ")
 	switch {
-	case !found || method == "" || !strings.HasPrefix(target, "/") || strings.ContainsAny(version, " \t"):
+	case !found || !plain(method) || !plain(target) || target[0] != '/' || strings.ContainsAny(version, " \t"):
 		return nil, wrong(400, "malformed request line")
 	case version != "HTTP/1.1" && version != "HTTP/1.0":
 		return nil, wrong(505, "unsupported version")
 	}
+	for name := range header {
+		// Kept apart from the name without the blank, which others may read it as:
+		// a length that is hidden like this would smuggle a request past us.
+		if strings.ContainsAny(name, " \t") {
+			return nil, wrong(400, "malformed header name")
+		}
+	}
 	r := &Request{Method: method, Target: target, Header: header, Close: closes(header, version)}
 	if m.Continue != nil && strings.EqualFold(header.Get("Expect"), "100-continue") {
 		m.Continue()
@@ -190,12 +197,24 @@
 	if length > MaxBody {
 		return nil, wrong(413, "body over %d bytes", MaxBody)
 	}
+	// Memory is taken as the body comes, not as it is announced.
 	m.limit.N = int64(length)
-	body := make([]byte, length)
-	if _, err := io.ReadFull(m.buf, body); err != nil {
-		return nil, errors.Join(io.ErrUnexpectedEOF, err)
+	body, err := io.ReadAll(io.LimitReader(m.buf, int64(length)))
+	if err == nil && len(body) < int(length) {
+		err = io.ErrUnexpectedEOF
+	}
+	return body, err
+}
+
+// plain tells whether a word of the request line is whole and printable. What a region
+// cannot read makes it close the connection.
+func plain(word string) bool {
+	for i := range len(word) {
+		if word[i] <= ' ' || word[i] >= 0x7f {
+			return false
+		}
 	}
-	return body, nil
+	return word != ""
 }
 
 func capped(r io.Reader, m *Reader) ([]byte, error) {
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -41,9 +41,15 @@
 		"no colon":    {text: "GET / HTTP/1.1\nnonsense\n\n", status: 400},
 		"two framings": {status: 400,
 			text: "POST / HTTP/1.1\nContent-Length: 0\nTransfer-Encoding: chunked\n\n"},
-		"two lengths":     {text: "POST / HTTP/1.1\nContent-Length: 1\nContent-Length: 2\n\nab", status: 400},
-		"negative length": {text: "POST / HTTP/1.1\nContent-Length: -1\n\n", status: 400},
-		"long body":       {text: "POST / HTTP/1.1\nContent-Length: 65537\n\n", status: 413},
+		"two lengths":      {text: "POST / HTTP/1.1\nContent-Length: 1\nContent-Length: 2\n\nab", status: 400},
+		"negative length":  {text: "POST / HTTP/1.1\nContent-Length: -1\n\n", status: 400},
+		"blank in a name":  {text: "POST / HTTP/1.1\nContent-Length : 1\n\na", status: 400},
+		"signed length":    {text: "POST / HTTP/1.1\nContent-Length: +1\n\na", status: 400},
+		"control in path":  {text: "GET /a\x01b HTTP/1.1\n\n", status: 400},
+		"bare CR in path":  {text: "GET /a\rb HTTP/1.1\n\n", status: 400},
+		"control in value": {text: "GET / HTTP/1.1\nX-Txn: a\x00b\n\n", status: 400},
+		"bare CR in value": {text: "GET / HTTP/1.1\nX-Txn: a\rb\n\n", status: 400},
+		"long body":        {text: "POST / HTTP/1.1\nContent-Length: 65537\n\n", status: 413},
 		"long chunks": {text: "POST / HTTP/1.1\nTransfer-Encoding: chunked\n\n10001\n" +
 			strings.Repeat("a", 65537) + "\n0\n\n", status: 413},
 		"odd chunk":        {text: "POST / HTTP/1.1\nTransfer-Encoding: chunked\n\nzz\n", status: 400},
@@ -138,3 +144,16 @@
 		}
 	})
 }
+
+// A length that is only announced must cost no memory: there may be hundreds.
+func TestAnnouncedLengthCostsNothing(t *testing.T) {
+	text := crlf("POST / HTTP/1.1\nContent-Length: 65536\n\nab")
+	got := testing.Benchmark(func(b *testing.B) {
+		for range b.N {
+			NewReader(strings.NewReader(text)).Request()
+		}
+	}).AllocedBytesPerOp()
+	if got > MaxBody/4 {
+		t.Errorf("%d bytes for a request that never came", got)
+	}
+}
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -18,8 +19,15 @@
 	healthPath   = "/_health"
 	callbackPath = "/callback"
 
-	// readWithin is the longest that a request may take from its first byte on.
-	readWithin = 10 * time.Second
+	// firstWithin is the longest from the accept to the end of the first request. Who
+	// says nothing, or half a thing, is owed an error or a close within 3 s.
+	firstWithin = 2 * time.Second
+	// readWithin is the longest that a later request may take from its first byte on.
+	readWithin = 5 * time.Second
+	// lingers is how long a connection is read on after an answer that ends it.
+	lingers = 500 * time.Millisecond
+	// fresh is how long a newcomer may take to its first request, however crowded it is.
+	fresh = 100 * time.Millisecond
 	// crossing is how long a connection that is to be closed is still read.
 	crossing = 100 * time.Millisecond
 	// writeSlack is how long after a deadline an answer is still being written.
@@ -55,8 +63,18 @@
 	ctx     context.Context // ends when the connection should close once it idles
 	release context.CancelFunc
 	idle    atomic.Int64 // since when no request is under way; 0: one is
+	since   scheduler.Micros
+	rank    atomic.Int32 // cutOff, stranger, caller or customer
 }
 
+// What a connection has shown of itself. When room is short, the lowest go first.
+const (
+	cutOff   = iota - 1 // a stranger that was let go: nothing more is taken from it
+	stranger            // never sent a whole request
+	caller              // sent some, but no job that was taken and no callback
+	customer
+)
+
 func newClient(n *Node, conn net.Conn) *client {
 	c := &client{node: n, conn: conn, read: http1.NewReader(conn)}
 	c.answers = make(chan scheduler.Answer, 1)
@@ -65,7 +83,8 @@
 		io.WriteString(conn, "HTTP/1.1 100 Continue\r\n\r\n") // should it fail, so does the answer
 	}
 	c.ctx, c.release = context.WithCancel(n.ctx)
-	c.idle.Store(int64(n.now()))
+	c.since = n.now()
+	c.idle.Store(int64(c.since))
 	return c
 }
 
@@ -78,6 +97,8 @@
 		<-n.slots
 		n.post(closed{c})
 	}()
+	// Set once, so that neither silence nor a byte now and then moves it.
+	c.conn.SetReadDeadline(n.at(c.since).Add(firstWithin))
 	for next := c.begin(); ; {
 		// Idle: the next request begins, or the other side or we have had enough.
 		select {
@@ -88,7 +109,9 @@
 		case <-c.ctx.Done():
 			// A request may cross our leave. What has come by now is still answered:
 			// closing on it would look like a job lost.
-			c.conn.SetReadDeadline(time.Now().Add(crossing))
+			if c.rank.Load() != cutOff {
+				c.conn.SetReadDeadline(time.Now().Add(crossing))
+			}
 			if err := <-next; err != nil {
 				return
 			}
@@ -113,13 +136,17 @@
 // one reads a request and answers it. It returns the wait for the next one.
 func (c *client) one() (next <-chan error, goOn bool) {
 	n := c.node
-	c.conn.SetReadDeadline(time.Now().Add(readWithin))
+	if c.rank.Load() > stranger {
+		c.conn.SetReadDeadline(time.Now().Add(readWithin))
+	}
 	r, err := c.read.Request()
 	at := n.now()
-	c.conn.SetReadDeadline(time.Time{})
 	if err != nil {
 		var wrong *http1.Error
-		if errors.As(err, &wrong) {
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			n.log.Warn("request too slow", "from", c.conn.RemoteAddr().String())
+			c.write(at, 408, true, "", nil)
+		} else if errors.As(err, &wrong) {
 			n.log.Warn("bad request", "from", c.conn.RemoteAddr().String(), "why", wrong.Text)
 			c.write(at, wrong.Status, true, "", []byte(wrong.Text+"\n"))
 			c.linger()
@@ -128,6 +155,11 @@
 		}
 		return nil, false
 	}
+	if c.rank.CompareAndSwap(stranger, caller); c.rank.Load() == cutOff {
+		c.write(at, 503, true, "0", nil) // whole just as it was cut off: nothing was sent on
+		return nil, false
+	}
+	c.conn.SetReadDeadline(time.Time{}) // only now: nobody cuts off a caller any more
 	path, _, _ := strings.Cut(r.Target, "?")
 	switch {
 	case path == healthPath:
@@ -147,6 +179,7 @@
 			goOn = c.bad(at, r, 400, "callback: "+err.Error())
 			break
 		}
+		c.rank.Store(customer)
 		// The answer waits for nothing: the region needs none of what follows.
 		goOn = c.write(at, 204, r.Close, "", nil)
 		n.post(told)
@@ -171,12 +204,18 @@
 	id, left := r.Header.Get("X-Txn"), r.Header.Get("X-Remaining-Ms")
 	ms, err := strconv.ParseInt(left, 10, 64)
 	why := ""
+	for _, name := range single {
+		if len(r.Header[name]) > 1 {
+			why = "repeated " + name // which of them counts, the region may see otherwise
+		}
+	}
 	switch {
+	case why != "":
 	case id == "":
 		why = "no X-Txn"
 	case left == "":
 		why = "no X-Remaining-Ms"
-	case err != nil || ms < 0:
+	case err != nil || left[0] < '0':
 		why = "malformed X-Remaining-Ms"
 	}
 	if why != "" {
@@ -211,6 +250,9 @@
 			return nil, false
 		}
 	}
+	if answer.Verdict < scheduler.Invalid {
+		c.rank.Store(customer)
+	}
 	if answer.Verdict == scheduler.Invalid || answer.Verdict == scheduler.Conflict {
 		answer.Body = append(answer.Body, '\n') // a line for whoever reads it
 	}
@@ -218,6 +260,9 @@
 	return next, c.write(s.Deadline, statuses[answer.Verdict], last, advice(answer), answer.Body)
 }
 
+// single are the headers of which a job has one at most.
+var single = []string{"X-Txn", "X-Lane", "X-Org", "X-Remaining-Ms", "X-Labels", "Idempotency-Key"}
+
 var statuses = map[scheduler.Verdict]int{
 	scheduler.Served: 200, scheduler.Refused: 503, scheduler.Failed: 500, scheduler.Invalid: 400,
 	scheduler.Conflict: 409,
@@ -275,9 +320,18 @@
 // Closing at once would reset the connection, and the answer might never be seen.
 func (c *client) linger() {
 	if half, ok := c.conn.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
-		c.conn.SetReadDeadline(time.Now().Add(writeSlack))
+		c.conn.SetReadDeadline(time.Now().Add(lingers))
 		io.Copy(io.Discard, io.LimitReader(c.conn, 4*http1.MaxBody))
 	}
 }
 
+// evict lets a client go to make room. One that has never sent a whole request is cut
+// off within one; for the others, a request that crosses the close is answered.
+func (c *client) evict() {
+	if c.rank.CompareAndSwap(stranger, cutOff) {
+		c.conn.SetReadDeadline(time.Now())
+	}
+	c.release()
+}
+
 func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,6 +73,7 @@
 	mostOpen int
 	slots    chan struct{} // one taken for each client connection
 	reserve  int           // slots that those who wait for an answer may not take
+	asked    atomic.Bool   // room has been asked for, and not been made yet
 	panics   int
 	draining atomic.Bool      // no new transactions are taken: health says so
 	calls    int              // withdrawals under way
@@ -297,41 +298,60 @@
 	}
 }
 
-// makeRoom closes the client connections that have idled longest: a few at once, as
-// each takes a moment to see whether a request crosses.
+// makeRoom closes client connections until the reserve is free. All that never sent a
+// whole request go, unless they have just come: they may be hundreds. Of the others go
+// those that idle, first those that never brought a job or a callback, the longest first.
 func (n *Node) makeRoom() {
+	n.asked.Store(false)
+	free := cap(n.slots) - len(n.slots)
 	idle := map[*client]int64{}
 	for c := range n.clients {
-		if at := c.idle.Load(); at != 0 && c.ctx.Err() == nil {
+		at, rank := c.idle.Load(), c.rank.Load()
+		switch {
+		case c.ctx.Err() != nil:
+			free++ // it is about to close
+		case rank == stranger && n.now()-c.since > scheduler.Micros(fresh.Microseconds()):
+			c.evict()
+			free++
+		case rank != stranger && at != 0:
 			idle[c] = at
 		}
 	}
+	if free >= n.reserve {
+		return
+	}
 	oldest := slices.SortedFunc(maps.Keys(idle), func(a, b *client) int {
-		return cmp.Compare(idle[a], idle[b])
+		return cmp.Or(cmp.Compare(a.rank.Load(), b.rank.Load()), cmp.Compare(idle[a], idle[b]))
 	})
-	for _, c := range oldest[:min(len(oldest), n.reserve)] {
-		c.release()
+	for _, c := range oldest[:min(len(oldest), n.reserve-free)] {
+		c.evict()
 	}
 }
 
-// pauseAfterAcceptError bounds the pace of failing accepts, when descriptors run out.
-const pauseAfterAcceptError = 20 * time.Millisecond
+// pause bounds the pace of failing accepts and of asking for room.
+const pause = 20 * time.Millisecond
 
-func (n *Node) accept() {
-	defer n.serving.Done()
+// slot takes a slot for the next client. Room is made before it is needed, as closing
+// takes a moment; a callback or a usual client may be the next in the queue.
+func (n *Node) slot() bool {
+	if cap(n.slots)-len(n.slots) < max(n.reserve/2, 1) && n.asked.CompareAndSwap(false, true) {
+		n.post(crowded{})
+	}
 	for {
 		select {
 		case n.slots <- struct{}{}:
-		default:
-			// All descriptors for clients are in use: ask for one that idles, and
-			// leave newcomers in the listener's queue until there is room.
-			n.post(crowded{})
-			select {
-			case n.slots <- struct{}{}:
-			case <-n.ctx.Done():
-				return
-			}
+			return true
+		case <-n.ctx.Done():
+			return false
+		case <-time.After(pause):
+			n.post(crowded{}) // those who had just come are old enough by now, or one idles
 		}
+	}
+}
+
+func (n *Node) accept() {
+	defer n.serving.Done()
+	for n.slot() {
 		conn, err := n.listener.Accept()
 		if err != nil {
 			<-n.slots
@@ -340,7 +360,7 @@
 			}
 			n.log.Warn("cannot accept", "error", err)
 			n.post(crowded{})
-			time.Sleep(pauseAfterAcceptError)
+			time.Sleep(pause)
 			continue
 		}
 		c := newClient(n, conn)
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -228,6 +228,10 @@
 		_, err := io.WriteString(p.conn, text)
 		return err
 	}
+	if part, ok := strings.CutPrefix(text, "part"); ok { // as it is, and perhaps nothing
+		_, err := io.WriteString(p.conn, strings.TrimSpace(part))
+		return err
+	}
 	head, body, framed := strings.Cut(text, " || ")
 	if strings.HasPrefix(head, "job ") {
 		words := strings.Fields(head)
@@ -243,7 +247,7 @@
 		line, rest, _ := strings.Cut(head, " | ")
 		head = strings.TrimSuffix(line+" HTTP/1.1 | "+rest, " | ")
 	}
-	if framed || p.listener != nil {
+	if (framed || p.listener != nil) && !strings.Contains(head, "Content-Length") {
 		head += fmt.Sprintf(" | Content-Length: %d", len(body))
 	}
 	_, err := io.WriteString(p.conn, strings.ReplaceAll(head, " | ", "\r\n")+"\r\n\r\n"+body)
@@ -486,6 +490,89 @@
 		c0 expect 200 close yes`)
 }
 
+// Who connects and says nothing, or half a thing, gets an error or a close in time,
+// however late its last byte came. A kept connection that idles longer stays.
+func TestSlowClients(t *testing.T) {
+	play(t, newWorld(t, 0, "r1"), `
+		kept send GET /_health
+		kept expect 200
+		half send part POST /post/7 HTTP/1.1
+		body send POST /post/7 | Content-Length: 60 || work
+		neg send POST /post/7 | Content-Length: +4 || work
+		neg expect 400 close malformed Content-Length
+		gap send POST /post/7 | Content-Length : 4 || work
+		gap expect 400 close malformed header name
+		ids send POST /post/7 | X-Txn: a | X-Txn: b || work
+		ids expect 400 repeated X-Txn
+		ms send POST /post/7 | X-Txn: a | X-Remaining-Ms: +5 || work
+		ms expect 400 malformed X-Remaining-Ms
+		mute send part
+		mute expect end
+		half expect 408 close
+		body expect 408 close
+		kept send GET /_health
+		kept expect 200`)
+}
+
+// Hundreds that say nothing, or stay when they have been answered, keep neither a new
+// job nor a callback out for long, nor close the kept connection of a usual client.
+func TestCrowd(t *testing.T) {
+	w := newWorld(t, leastSockets, "r1")
+	script := `
+		c1 send job post a1 || work
+		r1 expect POST /post/7?a=b txn=a1 key=k body=work
+		r1 send 202 OK
+		back send POST /callback || {"id":"a1","from":"r1","state":"done","result":"yes"}
+		back expect 204
+		c1 expect 200 yes`
+	for i := range cap(w.node.slots) * 3 {
+		script += fmt.Sprintf("\nmute%d send part\nstays%d send GET /_health\nstays%d expect 200", i, i, i)
+	}
+	began := time.Now()
+	play(t, w, script+`
+		c2 send job post a2 | Connection: close || work
+		r1 expect POST /post/7?a=b txn=a2 key=k body=work
+		r1 send 202 OK
+		back send POST /callback || {"id":"a2","from":"r1","state":"done","result":"yes"}
+		back expect 204
+		c2 expect 200 close yes
+		c1 send GET /_health
+		c1 expect 200`)
+	if took := time.Since(began); took > patience/2 {
+		t.Errorf("took %v", took)
+	}
+}
+
+// One whose request became whole as it was cut off hears so, and nothing is sent on;
+// a caller is never cut off, as that would lose its request.
+func TestCutOffCrossesTheRequest(t *testing.T) {
+	w := newWorld(t, 0, "r1")
+	for rank, want := range map[int32]string{cutOff: "503 close", stranger: "200", customer: "200"} {
+		ours, theirs := net.Pipe()
+		c := newClient(w.node, ours)
+		c.rank.Store(rank)
+		if rank == customer {
+			c.evict()
+		}
+		w.node.slots <- struct{}{}
+		w.node.serving.Add(1)
+		go c.serve()
+		go io.WriteString(theirs, "GET /_health HTTP/1.1\r\n\r\n")
+		r, err := http1.NewReader(theirs).Response()
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := fmt.Sprint(r.Status)
+		if r.Close {
+			got += " close"
+		}
+		if diff := cmp.Diff(want, got); diff != "" {
+			t.Error(diff)
+		}
+		theirs.Close()
+	}
+}
+
 // A request that crosses the node's wish to close the connection is answered.
 func TestRequestCrossesTheClose(t *testing.T) {
 	w := newWorld(t, 0, "r1")
