Keep jobs that must not run twice from workers that failed some lately

Between 5 and 15 s 10 to 14% failed, then as many came late. A probe of sends and outcomes by region: three of eight regions answer about half of their jobs with an error for 11 s. Nothing on the sockets was at fault: no reset, no refused connect, 0.02 s of CPU in the worst second. judge (dispatcher.go) sets a worker aside after three errors in a row, and at one in two there is nearly always a success between.

Now a recent share of errors bars the unsafe class alone; keyed jobs, over half of the work, still go there, may be tried again, and find out whether the errors last.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -577,7 +577,7 @@
 
 // fits tells whether the class of a job and its earlier attempts allow a worker.
 func (d *Dispatcher) fits(j *job, w *worker) bool {
-	if k := d.set.Classes[j.class].Kind; k >= 0 && k != w.entry.Kind {
+	if k := d.set.Classes[j.class].Kind; k >= 0 && k != w.entry.Kind || d.risky(j, w) {
 		return false
 	}
 	for _, a := range j.attempts {
@@ -786,6 +786,7 @@
 			w.cold, w.lost = d.now, false // back, so it started anew: cold before the list says so
 		}
 		w.fails = 0
+		d.erred(w, 0)
 		w.alive(d.now)
 		d.learnRun(a)
 	case Full:
@@ -799,6 +800,7 @@
 		d.setAside(w)
 	case Failed:
 		// Quick errors empty a worker and would draw more work to it.
+		d.erred(w, 1)
 		if w.fails++; w.fails >= failLimit {
 			w.fails--
 			d.setAside(w)
--- a/estimates.go
+++ b/estimates.go
@@ -1,6 +1,9 @@
 package dahliaford
 
-import "slices"
+import (
+	"math"
+	"slices"
+)
 
 // The estimates that the module decides by: speeds, run times, works and quotas,
 // from what was seen. Nothing here decides.
@@ -271,6 +274,44 @@
 	}
 }
 
+// Of what is known of a worker's errors. A healthy one hardly ever fails a job.
+const (
+	keepErrors = 0.6  // what an outcome leaves of those before it
+	mostErrors = 0.25 // the share from which on a worker is held to be failing jobs
+	errorsSpan = 3 * second
+)
+
+// erred records an outcome: 1 an error, 0 none.
+func (d *Dispatcher) erred(w *worker, one float64) {
+	w.errors, w.erredAt = d.errorShare(w)*keepErrors+one*(1-keepErrors), d.now
+}
+
+// errorShare is the recent share of errors. It wears off by itself, as a worker that is
+// shunned tells nothing.
+func (d *Dispatcher) errorShare(w *worker) float64 {
+	return w.errors * math.Exp(-float64(d.now-w.erredAt)/errorsSpan)
+}
+
+// errs tells whether a worker is held to be failing jobs.
+func (d *Dispatcher) errs(w *worker) bool { return w.errors > 0 && d.errorShare(w) > mostErrors }
+
+// risky tells whether a job should not meet a worker that fails some: its class
+// allows no second attempt after an error. What may be repeated still goes there, uses
+// the slots and finds out whether the errors last. When most workers err, there is
+// nothing better to wait for.
+func (d *Dispatcher) risky(j *job, w *worker) bool {
+	if d.set.Classes[j.class].Effect != Unsafe || !d.errs(w) {
+		return false
+	}
+	err := 0.0
+	for _, w := range d.part {
+		if d.errs(w) {
+			err++
+		}
+	}
+	return err <= halfFleet*float64(len(d.part))
+}
+
 // sharing is how many dispatchers share a worker.
 func (d *Dispatcher) sharing() float64 { return d.reach * float64(d.set.Balancers) }
 
--- a/failures_test.go
+++ b/failures_test.go
@@ -445,3 +445,45 @@
 	b = newBench(t, s, ready(1, 0))
 	b.want(b.do(late), Refuse, 1)
 }
+
+// A worker that fails some of its jobs, not all in a row: jobs that must not run twice
+// wait for another one, the rest still go there. When most err, it bars nobody.
+func TestUnsafeJobsAvoidWorkersThatErr(t *testing.T) {
+	const safe, unsafe = 0, 2
+	for name, c := range map[string]struct {
+		errs  []WorkerID
+		class int
+		sent  int
+	}{
+		"nobody errs":          {nil, unsafe, 3},
+		"unsafe, one errs":     {[]WorkerID{1}, unsafe, 2},
+		"repeatable, one errs": {[]WorkerID{1}, safe, 3},
+		"unsafe, most err":     {[]WorkerID{1, 2}, unsafe, 3},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newBench(t, testSettings(), ready(1, 0), ready(2, 0), ready(3, 0))
+			b.slots(1, 1)
+			for _, w := range c.errs {
+				j := &job{id: 90 + JobID(w), class: unsafe, slots: 1, giveUp: b.now + second}
+				b.d.jobs[j.id] = j
+				b.d.send(j, b.d.workers[w])
+				b.end(j.id, 0, Failed)
+			}
+			sent := 0
+			for id := JobID(1); id <= 3; id++ {
+				for _, a := range find(b.arrive(id, c.class), Send) {
+					b.do(Event{Kind: AttemptNote, Job: a.Job, Attempt: a.Attempt, Note: NoteStarted})
+					sent++
+				}
+			}
+			if sent != c.sent {
+				t.Errorf("%d sent, want %d", sent, c.sent)
+			}
+			b.now += 10 * second
+			b.do(Event{Kind: TimerRang})
+			if b.d.errs(b.d.workers[1]) {
+				t.Error("the errors do not wear off")
+			}
+		})
+	}
+}
--- a/state.go
+++ b/state.go
@@ -137,9 +137,11 @@
 	pace      pace
 	sign      Micros // last sign of life
 	suspect   bool
-	trial     Micros // when a suspect may be tried again
-	fails     int    // failures in a row
-	lost      bool   // the last try could not connect: cold when it is back
+	trial     Micros  // when a suspect may be tried again
+	fails     int     // failures in a row
+	errors    float64 // recent share of errors, when erredAt
+	erredAt   Micros
+	lost      bool // the last try could not connect: cold when it is back
 	downUntil Micros
 	cold      Micros    // start of its warming, as far as known; 0: warm
 	budget    float64   // work that may go there now, while it is cold
