Take a single reset or failed connect for an accident, not for a worker's end

Ruled out: discovery (it lists them ready), free slots, descriptors (34). judge (dispatcher.go) set w.lost on the first failed connect, and a lost worker counts as cold on its return, for the whole warming time and with a small budget; a single reset set a worker aside, too.

A reset now counts as an error, three in a row set aside. A failed connect still sets aside, and from the second in a row on the worker counts as down and later as cold.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -794,11 +794,9 @@
 		w.blocked = d.now + max(d.beat(), Micros(d.slots.value/4))
 		w.alive(d.now)
 	case ConnectFailed:
-		w.lost = true
+		w.lost = w.lost || w.fails > 0 // one alone may be an accident on the way
 		d.setAside(w)
-	case Reset:
-		d.setAside(w)
-	case Failed:
+	case Failed, Reset:
 		// Quick errors empty a worker and would draw more work to it.
 		d.erred(w, 1)
 		if w.fails++; w.fails >= failLimit {
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -750,6 +750,8 @@
 	b.now += 5 * second
 	b.arrive(1, 0)
 	b.end(1, 0, ConnectFailed)
+	b.pass(second)
+	b.end(1, 1, ConnectFailed)
 	w := b.d.workers[1]
 	if b.d.coldAt(w) == 0 {
 		t.Fatal("a worker that could not be reached does not count as cold")
