--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -608,7 +608,8 @@
 	dropped := 0
 	for i := range 7 {
 		n.open++
-		l := &link{addr: "old", since: n.now() + second + scheduler.Micros(i), release: func() { dropped++ }}
+		since := n.now() + second + scheduler.Micros(i)
+		l := &link{addr: "old", since: since, release: func() { dropped++ }}
 		n.links["old"] = append(n.links["old"], l)
 	}
 	var got []bool
