--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -604,7 +604,8 @@
 // Connections to regions stay within their part of the descriptors: idle ones go
 // first, and then nothing is sent, which is no crash.
 func TestRegionConnectionsAreBounded(t *testing.T) {
-	n := &Node{start: time.Now(), links: map[string][]*link{}, mostOpen: 8, ctx: t.Context(), inbox: make(chan any, 100)}
+	n := &Node{start: time.Now(), links: map[string][]*link{}, mostOpen: 8, ctx: t.Context(),
+		inbox: make(chan any, 100)}
 	dropped := 0
 	for i := range 7 {
 		n.open++
