Let all idle connections that brought no job make room at once

The log held no bad request. A probe of arrivals by second: 4 and 6 in seconds 5 and 6, then 42, at 20 a second as usual: the requests stood in the listener's queue. Ruled out: CPU (0.08 s in the worst second) and the gate, which logged nothing there. makeRoom (node.go) closed an eighth of the slots at a time, and each waits 100 ms for a request that crosses, so a thousand that asked once and stayed kept the usual clients out for two seconds.

Now all idle ones that brought no job go at once and wait a tenth of that; usual clients' connections are spared while some that say nothing have just come.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -109,7 +109,11 @@
 		case <-c.ctx.Done():
 			// A request may cross our leave. What has come by now is still answered:
 			// closing on it would look like a job lost.
-			if c.rank.Load() != cutOff {
+			switch c.rank.Load() {
+			case cutOff:
+			case caller:
+				c.conn.SetReadDeadline(time.Now().Add(crossing / 10)) // no job was ever lost here
+			default:
 				c.conn.SetReadDeadline(time.Now().Add(crossing))
 			}
 			if err := <-next; err != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -298,22 +298,28 @@
 	}
 }
 
+const freshFor = scheduler.Micros(fresh / time.Microsecond)
+
 // makeRoom closes client connections until the reserve is free. All that never sent a
-// whole request go, unless they have just come: they may be hundreds. Of the others go
-// those that idle, first those that never brought a job or a callback, the longest first.
+// whole request go, and all idle ones that never brought a job or a callback, unless they
+// have just come: a thousand more may stand in the listener's queue, before the usual
+// clients. Then go those of usual clients that have idled longest.
 func (n *Node) makeRoom() {
 	n.asked.Store(false)
-	free := cap(n.slots) - len(n.slots)
+	free, young := cap(n.slots)-len(n.slots), 0
 	idle := map[*client]int64{}
 	for c := range n.clients {
 		at, rank := c.idle.Load(), c.rank.Load()
 		switch {
 		case c.ctx.Err() != nil:
 			free++ // it is about to close
-		case rank == stranger && n.now()-c.since > scheduler.Micros(fresh.Microseconds()):
+		case rank == stranger && n.now()-c.since > freshFor,
+			rank == caller && at != 0 && n.now()-scheduler.Micros(at) > freshFor:
 			c.evict()
 			free++
-		case rank != stranger && at != 0:
+		case rank <= stranger:
+			young++
+		case at != 0:
 			idle[c] = at
 		}
 	}
@@ -324,6 +330,9 @@
 		return cmp.Or(cmp.Compare(a.rank.Load(), b.rank.Load()), cmp.Compare(idle[a], idle[b]))
 	})
 	for _, c := range oldest[:min(len(oldest), n.reserve-free)] {
+		if c.rank.Load() == customer && young > 0 {
+			return // those who have just come, and say nothing, make room in a moment
+		}
 		c.evict()
 	}
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -552,6 +552,40 @@
 	}
 }
 
+// A crowd that asked once and stays is let go all at once: a few at a time, a thousand
+// of them would keep those behind them waiting for seconds. Others are spared.
+func TestRoomIsMadeAtOnce(t *testing.T) {
+	n := &Node{start: time.Now().Add(-time.Minute), ctx: t.Context(), clients: map[*client]bool{},
+		slots: make(chan struct{}, 100), reserve: 4}
+	ranks := map[int32]int{}
+	add := func(rank int32, idle time.Duration, count int) {
+		for range count {
+			ours, theirs := net.Pipe()
+			t.Cleanup(func() { theirs.Close() })
+			c := newClient(n, ours)
+			c.rank.Store(rank)
+			c.since -= scheduler.Micros(idle.Microseconds())
+			c.idle.Store(int64(c.since))
+			n.clients[c] = true
+			n.slots <- struct{}{}
+		}
+	}
+	add(caller, time.Second, 40)
+	add(caller, -time.Hour, 10) // has just been answered
+	add(stranger, time.Second, 20)
+	add(stranger, -time.Hour, 10)
+	add(customer, time.Second, 20)
+	n.makeRoom()
+	for c := range n.clients {
+		if c.ctx.Err() != nil {
+			ranks[c.rank.Load()]++
+		}
+	}
+	if diff := cmp.Diff(map[int32]int{caller: 40, cutOff: 20}, ranks); diff != "" {
+		t.Error(diff)
+	}
+}
+
 // One whose request became whole as it was cut off hears so, and nothing is sent on;
 // a caller is never cut off, as that would lose its request.
 func TestCutOffCrossesTheRequest(t *testing.T) {
