Do not let a job's count of slots break the module down

Need: a client that sends X-Labels: slots=NaN (or 1e30) made the count of what a region has taken no number any more, or past an int. The next start report then indexed a table out of range: a panic, all open jobs failed, and eleven such requests ended the program.

Change: the module takes what is no number for one slot and bounds the rest; the door answers 400 "malformed X-Labels" before it gets that far. Found by reading for what a checker of the reducer would have to feed it.

Measured: TestAnyCountOfSlots panics without the change ("index out of range [-]") and passes with it.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -117,7 +117,7 @@
 		return
 	}
 	d.seq++
-	j := &job{id: e.Job, class: e.Class, tenant: e.Tenant, seq: d.seq, slots: max(1, e.Slots)}
+	j := &job{id: e.Job, class: e.Class, tenant: e.Tenant, seq: d.seq, slots: slotsFor(e.Slots)}
 	if j.class < 0 || j.class >= len(d.classes) {
 		j.class = 0
 	}
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -640,6 +640,24 @@
 }
 
 // What a crawling worker's own runs show moves work away from it.
+// A job may say that it takes any number of slots, or none. It used to break the module
+// down: the count of what a worker has taken was no number any more, or past an int.
+func TestAnyCountOfSlots(t *testing.T) {
+	for _, slots := range []float64{math.NaN(), math.Inf(1), math.Inf(-1), 1e30, -1, 0} {
+		b := newBench(t, testSettings(), ready(1, 0))
+		for id, needs := range []float64{slots, 1} {
+			arrived := Event{Kind: JobArrived, Job: JobID(id), Work: second / 5, Slots: needs, Patience: 6 * second}
+			for _, a := range find(b.do(arrived), Send) {
+				b.do(Event{Kind: AttemptNote, Job: a.Job, Worker: a.Worker, Note: NoteStarted})
+				b.end(a.Job, 0, OK)
+			}
+		}
+		if w := b.d.workers[1]; w.used != 0 {
+			t.Errorf("after a job of %v slots and one of 1, a worker has %v in use", slots, w.used)
+		}
+	}
+}
+
 func TestSlowWorkerIsLearned(t *testing.T) {
 	b := newBench(t, testSettings(), ready(1, 0), ready(2, 0))
 	for id := JobID(1); id <= 40; id += 2 {
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -207,7 +207,7 @@
 	n := c.node
 	id, left := r.Header.Get("X-Txn"), r.Header.Get("X-Remaining-Ms")
 	ms, err := strconv.ParseInt(left, 10, 64)
-	why := ""
+	slots, why := slotsOf(r.Header.Get("X-Labels")), ""
 	for _, name := range single {
 		if len(r.Header[name]) > 1 {
 			why = "repeated " + name // which of them counts, the region may see otherwise
@@ -221,6 +221,8 @@
 		why = "no X-Remaining-Ms"
 	case err != nil || left[0] < '0':
 		why = "malformed X-Remaining-Ms"
+	case !(slots <= mostSlots):
+		why = "malformed X-Labels"
 	}
 	if why != "" {
 		if !c.bad(at, r, 400, why) {
@@ -231,7 +233,7 @@
 	const mostMs = 1 << 40 // keeps the sum from running over
 	s := scheduler.Submitted{Caller: scheduler.Caller(lastCaller.Add(1)), ID: id,
 		Class: class(r), Tenant: r.Header.Get("X-Org"), Deadline: at + scheduler.Micros(min(ms, mostMs))*1000,
-		Slots: slotsOf(r.Header.Get("X-Labels")), Payload: &payload{method: r.Method, target: r.Target,
+		Slots: slots, Payload: &payload{method: r.Method, target: r.Target,
 			key: r.Header.Get("Idempotency-Key"), body: r.Body}}
 	n.post(submission{c, s})
 	next = c.begin()
@@ -282,6 +284,10 @@
 	return name
 }
 
+// mostSlots is the most that labels may say: beyond that, or no number at all, the
+// request makes no sense.
+const mostSlots = 1 << 20
+
 // slotsOf reads how many slots (or memory units, if more) a request's labels say.
 func slotsOf(labels string) float64 {
 	most := 1.0
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -391,6 +391,11 @@
 			c1 expect 400 unknown tenant "gabes"
 			c1 send GET /post/7 | X-Txn: a1
 			c1 expect 405 jobs come by POST` + sent,
+		"a count of slots that is no number, or beyond any machine": `
+			c1 send job batch a1 | X-Labels: slots=NaN || work
+			c1 expect 400 malformed X-Labels
+			c1 send job batch a1 | X-Labels: memory=1e30 || work
+			c1 expect 400 malformed X-Labels` + sent,
 		"a client without time is answered at once": `
 			c1 send POST /post/7 | X-Txn: a1 | X-Lane: post | X-Org: sahel | X-Remaining-Ms: 0
 			c1 expect 503 after 0`,
