Move the life of a region's connection into a state machine without I/O

Need: what a connection's end means for the job on it (never ran, may have run, nothing) was decided between sockets, in the loop, where no checker can drive it in every order.

Change: internal/link takes what a connection showed and returns the event for the reducer and what becomes of the connection; internal/node carries that out. The reducer now hears how a withdrawal went (Withdrawn), and does nothing with it yet. A refused connect of a withdrawal counts as reached: the process that had the job is gone.

--- /dev/null
+++ b/internal/link/link.go
@@ -0,0 +1,112 @@
+// Package link says what the life of a connection to a region means for the routed task
+// on it. It is a state machine: what the connection showed goes in, the event that the
+// reducer is to hear and what to do with the connection come out. It does no reading or
+// writing and has no clock; package node carries it on sockets, package explore in the
+// small.
+package link
+
+import (
+	"dahliaford"
+	"dahliaford/internal/scheduler"
+)
+
+// Link is one connection to a region. It carries an errand at a time: a routed task, or
+// the withdrawal of one. The zero Link idles.
+type Link struct {
+	Task     scheduler.Task // of the errand
+	Withdraw bool           // the errand takes the task back
+	Busy     bool           // an errand is on it
+	Written  bool           // the errand's last byte is out
+	Broken   bool           // nothing more can be read from it
+	Dead     bool           // let go: nothing that it says counts any more
+}
+
+// Next is what is to become of the connection.
+type Next uint8
+
+// What can become of a connection.
+const (
+	Stay Next = iota
+	Idle      // it can take another errand
+	Drop      // it is to be closed
+)
+
+// Answer is what a region said to an errand.
+type Answer struct {
+	Status     int
+	TurnedAway bool // it says that it did not begin
+	Close      bool // nothing follows on this connection
+	Report     dahliaford.Report
+}
+
+// Take puts an errand on a connection that idles.
+func (l *Link) Take(task scheduler.Task, withdraw bool) {
+	l.Task, l.Withdraw, l.Busy, l.Written = task, withdraw, true, false
+}
+
+// LetGo gives the connection up, whatever it is on.
+func (l *Link) LetGo() { l.Dead = true }
+
+// Wrote tells how the errand's writing ended: all of it is out, or its last byte is not.
+// refused says that nobody listens at the region's address: its process is gone.
+func (l *Link) Wrote(failed, refused bool) (Next, scheduler.Event) {
+	switch {
+	case l.Dead:
+		return Stay, nil
+	case failed: // the last byte did not get out, so nothing ran
+		return l.lose(dahliaford.ConnectFailed, refused)
+	}
+	l.Written = true
+	if l.Broken {
+		return l.lose(dahliaford.Reset, false)
+	}
+	return Stay, nil
+}
+
+// Broke tells that reading has ended.
+func (l *Link) Broke() (Next, scheduler.Event) {
+	if l.Dead {
+		return Stay, nil
+	}
+	l.Broken = true
+	switch {
+	case !l.Busy:
+		l.Dead = true
+		return Drop, nil
+	case l.Written:
+		return l.lose(dahliaford.Reset, false)
+	}
+	return Stay, nil // the writer's word is still to come, and says which it was
+}
+
+// lose ends the errand with the outcome that the connection's end means.
+func (l *Link) lose(o dahliaford.Outcome, gone bool) (Next, scheduler.Event) {
+	l.Dead, l.Busy = true, false
+	if l.Withdraw {
+		return Drop, scheduler.Withdrawn{Task: l.Task, Reached: gone}
+	}
+	return Drop, scheduler.Ended{Task: l.Task, Outcome: o}
+}
+
+// Answered takes a region's answer to the errand.
+func (l *Link) Answered(a Answer) (Next, scheduler.Event) {
+	if l.Dead || !l.Busy {
+		return Stay, nil
+	}
+	l.Busy = false
+	next := Idle
+	if a.Close || l.Broken {
+		l.Dead, next = true, Drop
+	}
+	switch {
+	case l.Withdraw:
+		return next, scheduler.Withdrawn{Task: l.Task, Reached: true}
+	case a.Status == 202:
+		return next, scheduler.Accepted{Task: l.Task}
+	case (a.Status == 503 || a.Status == 504) && a.TurnedAway:
+		return next, scheduler.Ended{Task: l.Task, Outcome: dahliaford.Full, Report: a.Report}
+	case a.Status >= 400 && a.Status < 500 && a.Status != 429:
+		return next, scheduler.Rejected{Task: l.Task}
+	}
+	return next, scheduler.Ended{Task: l.Task, Outcome: dahliaford.Failed, Report: a.Report}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -67,8 +67,8 @@
 	watches  int                // numbers them
 	clients  map[*client]bool
 	callers  map[scheduler.Caller]*client
-	links    map[string][]*link // by address; idle ones are used latest first
-	tasks    map[scheduler.Task]*link
+	links    map[string][]*regionConn // by address; idle ones are used latest first
+	tasks    map[scheduler.Task]*regionConn
 	open     int // links
 	mostOpen int
 	slots    chan struct{} // one taken for each client connection
@@ -96,7 +96,7 @@
 	usable := max(cfg.Sockets, leastSockets) - spareSockets
 	n := &Node{cfg: cfg, log: log, listener: listener, inbox: make(chan any, inboxSize), start: time.Now(),
 		sched: sched, clients: map[*client]bool{}, callers: map[scheduler.Caller]*client{},
-		links: map[string][]*link{}, tasks: map[scheduler.Task]*link{}, mostOpen: usable / regionPart}
+		links: map[string][]*regionConn{}, tasks: map[scheduler.Task]*regionConn{}, mostOpen: usable / regionPart}
 	n.epoch = scheduler.Micros(n.start.UnixMicro())
 	most := usable - n.mostOpen
 	n.slots, n.reserve = make(chan struct{}, most), most/callbackPart
@@ -215,7 +215,7 @@
 	case response:
 		return n.linkAnswered(m)
 	case broke:
-		return n.linkBroke(m.link)
+		return n.linkBroke(m.conn)
 	case ended:
 		n.open--
 	case tableWord:
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -643,13 +643,13 @@
 // Connections to regions stay within their part of the descriptors: idle ones go
 // first, and then nothing is sent, which is no crash.
 func TestRegionConnectionsAreBounded(t *testing.T) {
-	n := &Node{start: time.Now(), links: map[string][]*link{}, mostOpen: 8, ctx: t.Context(),
+	n := &Node{start: time.Now(), links: map[string][]*regionConn{}, mostOpen: 8, ctx: t.Context(),
 		inbox: make(chan any, 100)}
 	dropped := 0
 	for i := range 7 {
 		n.open++
 		since := n.now() + second + scheduler.Micros(i)
-		l := &link{addr: "old", since: since, release: func() { dropped++ }}
+		l := &regionConn{addr: "old", since: since, release: func() { dropped++ }}
 		n.links["old"] = append(n.links["old"], l)
 	}
 	var got []bool
@@ -678,9 +678,9 @@
 // A connection that has idled is let go, long before the region's limit: it may have
 // been closed without a word, and a job written to it would be lost.
 func TestIdleConnectionsAreRetired(t *testing.T) {
-	n := &Node{start: time.Now().Add(-time.Minute), links: map[string][]*link{}}
+	n := &Node{start: time.Now().Add(-time.Minute), links: map[string][]*regionConn{}}
 	for _, since := range []scheduler.Micros{0, 59 * second, 600 * second} {
-		n.links["r"] = append(n.links["r"], &link{since: since, release: func() {}})
+		n.links["r"] = append(n.links["r"], &regionConn{since: since, release: func() {}})
 	}
 	n.retireIdle()
 	if diff := cmp.Diff(1, len(n.links["r"])); diff != "" {
--- a/internal/node/region.go
+++ b/internal/node/region.go
@@ -2,31 +2,33 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/url"
 	"slices"
 	"strconv"
+	"syscall"
 
 	"github.com/mailru/easyjson/jlexer"
 
 	"dahliaford"
 	"dahliaford/internal/http1"
+	"dahliaford/internal/link"
 	"dahliaford/internal/scheduler"
 )
 
 // Messages of connections to regions to the loop.
 type (
-	wrote struct { // exactly one for each errand, unless the link was let go
-		link *link
+	wrote struct { // exactly one for each errand, unless the connection was let go
+		conn *regionConn
 		err  error
 	}
 	response struct {
-		link *link
-		*http1.Response
-		report dahliaford.Report
+		conn *regionConn
+		link.Answer
 	}
-	broke struct{ link *link } // nothing more can be read from it
-	ended struct{ link *link } // its descriptor is given back
+	broke struct{ conn *regionConn } // nothing more can be read from it
+	ended struct{ conn *regionConn } // its descriptor is given back
 )
 
 // keptFor is how long a connection that idles is used again. The regions' machines may
@@ -38,40 +40,36 @@
 
 // errand is one request to write: a routed task, or the withdrawal of one.
 type errand struct {
-	task     scheduler.Task // 0: a withdrawal
+	task     scheduler.Task
 	id       string
 	writeBy  scheduler.Micros
 	deadline scheduler.Micros
-	payload  *payload
+	payload  *payload // nil: a withdrawal
 }
 
-// link is a connection to a region. Its goroutine, run, dials, writes and closes; a
+// regionConn is a connection to a region. Its goroutine, run, dials, writes and closes; a
 // second one reads. What is below ctx belongs to the loop.
-type link struct {
+type regionConn struct {
 	node    *Node
 	addr    string
 	errands chan errand
 	ctx     context.Context
 	release context.CancelFunc
 
-	dead    bool // let go: nothing that it says counts any more
-	busy    bool
-	task    scheduler.Task
-	id      string
-	written bool // the errand's last byte is out
-	broken  bool // reading has ended
-	since   scheduler.Micros
+	link.Link
+	id    string
+	since scheduler.Micros
 }
 
 // assign gives an errand to an idle connection to a region, or to a new one. It
 // fails when there is no room for another connection.
-func (n *Node) assign(addr string, e errand) (*link, bool) {
+func (n *Node) assign(addr string, e errand) (*regionConn, bool) {
 	n.retireIdle()
 	if idle := n.links[addr]; len(idle) > 0 {
-		l := idle[len(idle)-1]
+		c := idle[len(idle)-1]
 		n.links[addr] = idle[:len(idle)-1]
-		l.take(e)
-		return l, true
+		c.take(e)
+		return c, true
 	}
 	if n.open >= n.mostOpen-n.mostOpen/8 { // early, as those let go take a moment to close
 		n.dropOldest()
@@ -79,28 +77,29 @@
 	if n.open >= n.mostOpen {
 		return nil, false
 	}
-	l := &link{node: n, addr: addr, errands: make(chan errand, 1)}
-	l.ctx, l.release = context.WithCancel(n.ctx)
+	c := &regionConn{node: n, addr: addr, errands: make(chan errand, 1)}
+	c.ctx, c.release = context.WithCancel(n.ctx)
 	n.open++
-	l.take(e)
-	n.spawn(l.run)
-	return l, true
+	c.take(e)
+	n.spawn(c.run)
+	return c, true
 }
 
-func (l *link) take(e errand) {
-	l.busy, l.task, l.id, l.written = true, e.task, e.id, false
-	l.errands <- e // it has room: a link has one errand at a time
+func (c *regionConn) take(e errand) {
+	c.Take(e.task, e.payload == nil)
+	c.id = e.id
+	c.errands <- e // it has room: a connection has one errand at a time
 }
 
 // drop lets a connection go.
-func (n *Node) drop(l *link) {
-	l.dead = true
-	l.release()
+func (n *Node) drop(c *regionConn) {
+	c.LetGo()
+	c.release()
 }
 
 // dropOldest makes room by closing the connection that has idled longest.
 func (n *Node) dropOldest() {
-	var oldest *link
+	var oldest *regionConn
 	for _, idle := range n.links {
 		if len(idle) > 0 && (oldest == nil || idle[0].since < oldest.since) {
 			oldest = idle[0]
@@ -161,101 +160,91 @@
 }
 
 func (n *Node) linkWrote(m wrote) error {
-	l := m.link
-	if l.dead {
-		return nil
-	}
-	if m.err != nil {
-		// The last byte did not get out, so nothing ran.
-		return n.lose(l, dahliaford.ConnectFailed, m.err)
-	}
-	l.written = true
-	if l.broken {
-		return n.lose(l, dahliaford.Reset, nil)
-	}
-	return nil
+	next, e := m.conn.Wrote(m.err != nil, errors.Is(m.err, syscall.ECONNREFUSED))
+	return n.linkNext(m.conn, next, e, m.err)
 }
 
-func (n *Node) linkBroke(l *link) error {
-	if l.dead {
-		return nil
-	}
-	l.broken = true
-	switch {
-	case !l.busy:
-		n.links[l.addr] = slices.DeleteFunc(n.links[l.addr], func(o *link) bool { return o == l })
-		n.drop(l)
-	case l.written:
-		return n.lose(l, dahliaford.Reset, nil)
+func (n *Node) linkBroke(c *regionConn) error {
+	next, e := c.Broke()
+	if next == link.Drop && e == nil { // it idled
+		n.links[c.addr] = slices.DeleteFunc(n.links[c.addr], func(o *regionConn) bool { return o == c })
 	}
-	return nil // else the writer's word is still to come, and says which it was
+	return n.linkNext(c, next, e, nil)
 }
 
-// lose ends what a connection was on with the outcome that its end means.
-func (n *Node) lose(l *link, o dahliaford.Outcome, cause error) error {
-	n.drop(l)
-	task := l.task
-	delete(n.tasks, task)
-	n.log.Info("connection to a region failed", "region", l.addr, "txn", l.id, "sent", l.written, "error", cause)
-	if task == 0 {
-		n.calls--
-		return nil
+func (n *Node) linkAnswered(m response) error {
+	next, e := m.conn.Answered(m.Answer)
+	switch e := e.(type) {
+	case scheduler.Withdrawn:
+		if m.Status >= 300 && m.Status != 404 {
+			n.log.Warn("withdrawal not taken", "region", m.conn.addr, "txn", m.conn.id, "status", m.Status)
+		}
+	case scheduler.Rejected:
+		n.log.Info("a region rejects a transaction", "region", m.conn.addr, "txn", m.conn.id, "status", m.Status)
+	case scheduler.Ended:
+		if e.Outcome == dahliaford.Failed && m.Status != 500 {
+			n.log.Warn("unexpected answer of a region", "region", m.conn.addr, "txn", m.conn.id, "status", m.Status)
+		}
+	}
+	if next == link.Idle {
+		m.conn.since = n.now()
+		n.links[m.conn.addr] = append(n.links[m.conn.addr], m.conn)
 	}
-	return n.step(scheduler.Ended{Task: task, Outcome: o})
+	return n.linkNext(m.conn, next, e, nil)
 }
 
-func (n *Node) linkAnswered(m response) error {
-	l := m.link
-	if l.dead || !l.busy {
+// linkNext does with a connection what its state machine says, and passes on what that
+// means for its errand.
+func (n *Node) linkNext(c *regionConn, next link.Next, e scheduler.Event, cause error) error {
+	if e == nil {
+		if next == link.Drop {
+			n.drop(c)
+		}
 		return nil
 	}
-	task := l.task
-	delete(n.tasks, task)
-	l.busy, l.task, l.since = false, 0, n.now()
-	if m.Close || l.broken {
-		n.drop(l)
+	if c.Withdraw {
+		n.calls--
 	} else {
-		n.links[l.addr] = append(n.links[l.addr], l)
+		delete(n.tasks, c.Task)
 	}
-	switch {
-	case task == 0:
-		n.calls--
-		if m.Status >= 300 && m.Status != 404 {
-			n.log.Warn("withdrawal not taken", "region", l.addr, "txn", l.id, "status", m.Status)
+	if next == link.Drop {
+		n.drop(c)
+		if !answered(e) {
+			n.log.Info("connection to a region failed", "region", c.addr, "txn", c.id, "sent", c.Written, "error", cause)
 		}
-		return nil
-	case m.Status == 202:
-		return n.step(scheduler.Accepted{Task: task})
-	case (m.Status == 503 || m.Status == 504) && m.Header.Get("X-Turned-Away") == "1":
-		return n.step(scheduler.Ended{Task: task, Outcome: dahliaford.Full, Report: m.report})
 	}
-	if m.Status >= 400 && m.Status < 500 && m.Status != 429 {
-		n.log.Info("a region rejects a transaction", "region", l.addr, "txn", l.id, "status", m.Status)
-		return n.step(scheduler.Rejected{Task: task})
-	}
-	if m.Status != 500 {
-		n.log.Warn("unexpected answer of a region", "region", l.addr, "txn", l.id, "status", m.Status)
+	return n.step(e)
+}
+
+// answered tells whether an event came of a region's answer and not of its
+// connection's end.
+func answered(e scheduler.Event) bool {
+	switch e := e.(type) {
+	case scheduler.Ended:
+		return e.Outcome != dahliaford.Reset && e.Outcome != dahliaford.ConnectFailed
+	case scheduler.Withdrawn:
+		return e.Reached
 	}
-	return n.step(scheduler.Ended{Task: task, Outcome: dahliaford.Failed, Report: m.report})
+	return true
 }
 
 // run is the life of a connection.
-func (l *link) run() {
-	n := l.node
-	defer n.post(ended{l})
-	defer l.release()
-	first := <-l.errands
+func (c *regionConn) run() {
+	n := c.node
+	defer n.post(ended{c})
+	defer c.release()
+	first := <-c.errands
 	dialer := net.Dialer{Deadline: n.at(first.writeBy), KeepAlive: -1}
-	conn, err := dialer.DialContext(l.ctx, "tcp", l.addr)
+	conn, err := dialer.DialContext(c.ctx, "tcp", c.addr)
 	if err != nil {
-		n.post(wrote{l, err})
+		n.post(wrote{c, err})
 		return
 	}
 	defer conn.Close()
 	over := make(chan struct{})
 	n.spawn(func() {
 		defer close(over)
-		l.listen(conn)
+		c.listen(conn)
 	})
 	for e := first; ; {
 		select {
@@ -263,27 +252,27 @@
 			err = net.ErrClosed
 		default:
 			conn.SetWriteDeadline(n.at(e.writeBy))
-			_, err = conn.Write(e.bytes(n.now(), l.addr))
+			_, err = conn.Write(e.bytes(n.now(), c.addr))
 		}
-		n.post(wrote{l, err})
+		n.post(wrote{c, err})
 		if err != nil {
 			return
 		}
 		select {
-		case e = <-l.errands:
-		case <-l.ctx.Done(): // the loop has let it go
+		case e = <-c.errands:
+		case <-c.ctx.Done(): // the loop has let it go
 			return
 		}
 	}
 }
 
 // listen reads answers, and so also sees the end of a connection that idles.
-func (l *link) listen(conn net.Conn) {
+func (c *regionConn) listen(conn net.Conn) {
 	read := http1.NewReader(conn)
 	for {
 		r, err := read.Response()
 		if err != nil {
-			l.node.post(broke{l})
+			c.node.post(broke{c})
 			return
 		}
 		var report dahliaford.Report
@@ -293,7 +282,8 @@
 				report = dahliaford.Report{}
 			}
 		}
-		l.node.post(response{l, r, report})
+		c.node.post(response{c, link.Answer{Status: r.Status, TurnedAway: r.Header.Get("X-Turned-Away") == "1",
+			Close: r.Close, Report: report}})
 		if r.Close {
 			return
 		}
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -59,6 +59,12 @@
 		Result   []byte
 		Report   dahliaford.Report
 	}
+	// Withdrawn tells how a Withdraw went: Reached says that the region has heard it, or
+	// that the process that had the task is gone.
+	Withdrawn struct {
+		Task    Task
+		Reached bool
+	}
 	// TableRead is a word from discovery; one without regions is a heartbeat.
 	TableRead struct{ Table Table }
 	// TableLost says that the watch could not be opened, or ended.
@@ -77,6 +83,7 @@
 func (Ended) event()      {}
 func (Rejected) event()   {}
 func (Told) event()       {}
+func (Withdrawn) event()  {}
 func (TableRead) event()  {}
 func (TableLost) event()  {}
 func (Woke) event()       {}
@@ -130,6 +137,7 @@
 	Abandon struct{ Task Task }
 	// Withdraw tells a region to drop a transaction that it has accepted.
 	Withdraw struct {
+		Task     Task
 		ID       string
 		Addr     string
 		Deadline Micros // no use after that
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -344,7 +344,7 @@
 		s.emit(Abandon{Task: k.number})
 	}
 	if k.accepted || k.started {
-		s.emit(Withdraw{ID: k.of.id, Addr: k.region.Addr, Deadline: s.now + withdrawFor})
+		s.emit(Withdraw{Task: k.number, ID: k.of.id, Addr: k.region.Addr, Deadline: s.now + withdrawFor})
 	}
 }
 
