--- a/api.go
+++ b/api.go
@@ -130,7 +130,7 @@
 // Outcome is how an attempt or a probe ended.
 type Outcome uint8
 
-// The outcomes. Full, ConnectFailed and Moot prove that nothing ran.
+// The outcomes. Full, ConnectFailed, Moot and Returned prove that nothing ran.
 const (
 	OK Outcome = iota
 	Failed
@@ -140,6 +140,7 @@
 	Reset
 	Cancelled
 	Moot
+	Returned // like Full, but told later and perhaps told again: see fits
 )
 
 // Note is the kind of news about a running attempt.
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -581,7 +581,7 @@
 		return false
 	}
 	for _, a := range j.attempts {
-		if a.worker == w && (a.live || a.ran) {
+		if a.worker == w && (a.live || a.ran || a.back) {
 			return false // another worker, if any: this one had its chance
 		}
 	}
@@ -742,10 +742,10 @@
 	j, w := a.job, a.worker
 	d.leave(a)
 	d.judge(a, e)
-	if e.Outcome != Full { // 'full' is surer than a report that promises slots
+	if e.Outcome != Full && e.Outcome != Returned { // 'full' is surer than a report that promises slots
 		d.report(w, e.Report, j.slots)
 	}
-	a.ran = e.Outcome != Full && e.Outcome != ConnectFailed && e.Outcome != Moot
+	a.ran, a.back = mayHaveRun(e.Outcome), e.Outcome == Returned
 	switch {
 	case !j.finished && (e.Final || e.Outcome == OK):
 		d.close(j)
@@ -789,7 +789,7 @@
 		d.erred(w, 0)
 		w.alive(d.now)
 		d.learnRun(a)
-	case Full:
+	case Full, Returned:
 		w.cap, w.capAt = max(1, d.taken(w)), d.now
 		w.blocked = d.now + max(d.beat(), Micros(d.slots.value/4))
 		w.alive(d.now)
@@ -945,7 +945,7 @@
 	}
 	most := rate * float64(d.set.Fall)
 	if w.budgetAt == 0 && d.now-d.born >= d.set.Fall {
-		w.budget = most
+		w.budget += most // less what was under way there when its start was told
 	} else {
 		w.budget = min(most, w.budget+rate*float64(d.now-max(w.budgetAt, d.born)))
 	}
@@ -1053,7 +1053,7 @@
 			d.order = append(d.order, w)
 		}
 		if entry.Started > w.entry.Started { // known to be back: no need to find out
-			w.lost, w.fails, w.downUntil, w.budgetAt = false, 0, 0, 0
+			w.lost, w.fails, w.downUntil, w.budgetAt, w.budget = false, 0, 0, 0, -d.underWay(w)
 		}
 		w.entry, w.kind = entry, nil
 	}
--- a/estimates.go
+++ b/estimates.go
@@ -109,6 +109,18 @@
 	return work + float64(d.set.Granularity) // a handshake may come with it
 }
 
+// underWay is the work of jobs that left for a worker and are not known to have begun:
+// if it starts anew now, they come to it cold.
+func (d *Dispatcher) underWay(w *worker) float64 {
+	work := 0.0
+	for _, a := range w.live {
+		if a.started == 0 {
+			work += d.coldWork(a.job)
+		}
+	}
+	return work
+}
+
 // speed is the work that a slot of a worker does in a unit of time: its own
 // recent runs, leaning on those of its kind.
 func (d *Dispatcher) speed(w *worker) float64 {
--- /dev/null
+++ b/internal/explore/actions.go
@@ -0,0 +1,702 @@
+package explore
+
+import (
+	"fmt"
+
+	"dahliaford"
+	"dahliaford/internal/link"
+	"dahliaford/internal/scheduler"
+)
+
+// Kind is a kind of step that the world can take.
+type Kind uint8
+
+// The kinds of steps. A is the number of a request, region, route, job, call or
+// withdrawal; B picks among ways.
+const (
+	Submit Kind = iota
+	SubmitAgain
+	ClientLeaves
+	RefuseRoute
+	Write
+	HearWritten
+	Arrive // B: a way below
+	BreakRoute
+	HearBroken
+	HearAnswer
+	CloseArrives // B: 0 in time, 1 after the region's 202
+	Begin
+	Finish
+	FailJob
+	HandBackJob
+	KillJob
+	Tell
+	TellAndKeep
+	LoseCall
+	WithdrawArrives
+	WithdrawAnswered
+	WithdrawBreaks
+	ProcessDies
+	ProcessStarts
+	MachineSilent
+	MachineBack
+	SayDraining
+	SayGone
+	SayReady
+	WatchLost
+	WatchAnswered
+	WatchAnew
+	ReloadConfig
+	SigTerm
+	ModuleBreaks
+	Tick
+	JustBefore
+	JustAfter
+	kinds
+)
+
+// The ways in which a request ends up at a region, and a connection breaks.
+const (
+	accept uint8 = iota
+	turnAway
+	replyError
+	replyReject
+)
+
+const (
+	breakLost   uint8 = iota // the request never came
+	breakRan                 // it came and ran, and ended with the connection
+	breakAnswer              // the region's answer is lost
+)
+
+var kindNames = [kinds]string{"submit", "submit-again", "client-leaves", "refuse-route", "write", "hear-written",
+	"arrive", "break-route", "hear-broken", "hear-answer", "close-arrives", "begin", "finish", "fail-job",
+	"hand-back-job", "kill-job", "tell", "tell-and-keep", "lose-call", "withdraw-arrives", "withdraw-answered",
+	"withdraw-breaks", "process-dies", "process-starts", "machine-silent", "machine-back", "say-draining",
+	"say-gone", "say-ready", "watch-lost", "watch-answered", "watch-anew", "reload", "sigterm", "module-breaks",
+	"tick", "just-before", "just-after"}
+
+func (k Kind) String() string { return kindNames[k] }
+
+// Action is one step of the world.
+type Action struct {
+	Kind Kind
+	A, B uint8
+}
+
+func (a Action) String() string { return fmt.Sprintf("%v %d %d", a.Kind, a.A, a.B) }
+
+const jitter = 1 * millisecond
+
+// can tells whether a fault is left in the budget.
+func (w *World) can(f Fault) bool { return w.left[f] > 0 && w.most > 0 && !w.quiet }
+
+func (w *World) spend(f Fault) {
+	if w.left[f] == 0 || w.most == 0 {
+		panic("explore: a fault beyond its budget")
+	}
+	w.left[f]--
+	w.most--
+}
+
+// due is the next time at which something must happen, and 0 if nothing must.
+func (w *World) due() Micros {
+	at := w.wake
+	for i := range w.routes {
+		if r := &w.routes[i]; r.phase == connecting && (at == 0 || r.writeBy < at) {
+			at = r.writeBy
+		}
+	}
+	return at
+}
+
+// busy tells whether time matters: somebody waits, or something is still to be done.
+func (w *World) busy() bool {
+	return !w.over() || len(w.withdraws) > 0 || w.stopped
+}
+
+// enabled appends the steps that the world can take now.
+func (w *World) enabled(out []Action) []Action {
+	if w.exited || w.broke != nil {
+		return out
+	}
+	add := func(k Kind, a, b int) { out = append(out, Action{k, uint8(a), uint8(b)}) }
+	first := true // of those not sent yet: the client sends them in order
+	for i := range w.requests {
+		q := &w.requests[i]
+		switch {
+		case q.state == unsent && first && !w.quiet:
+			add(Submit, i, 0)
+			first = false
+		case q.state == open && w.can(Leave):
+			add(ClientLeaves, i, 0)
+		}
+		if q.state != unsent && int(q.id) == i && w.can(SameID) && len(w.requests) < mostRequests {
+			add(SubmitAgain, i, 0)
+		}
+	}
+	for i := range w.routes {
+		out = w.routeSteps(i, out)
+	}
+	for i := range w.jobs {
+		j := &w.jobs[i]
+		if !j.running {
+			add(Begin, i, 0)
+			if w.can(HandBack) {
+				add(HandBackJob, i, 0)
+			}
+		} else {
+			add(Finish, i, 0)
+			if w.can(Fail) {
+				add(FailJob, i, 0)
+			}
+		}
+		if w.can(Kill) {
+			add(KillJob, i, 0)
+		}
+	}
+	for i := range w.calls {
+		if w.regions[w.calls[i].region].silent {
+			continue
+		}
+		add(Tell, i, 0)
+		if w.can(Repeat) {
+			add(TellAndKeep, i, 0)
+		}
+		if w.can(Lose) {
+			add(LoseCall, i, 0)
+		}
+	}
+	for i := range w.withdraws {
+		wd := &w.withdraws[i]
+		switch {
+		case wd.phase == replied:
+			add(WithdrawAnswered, i, 0)
+		case !w.regions[wd.region].silent && (w.cfg.DeleteOvertakes || !w.onItsWay(wd)):
+			add(WithdrawArrives, i, 0)
+		}
+		if wd.phase != replied && w.can(Break) {
+			add(WithdrawBreaks, i, 0)
+		}
+	}
+	for i := range w.regions {
+		r := &w.regions[i]
+		switch {
+		case r.down:
+			add(ProcessStarts, i, 0)
+		case w.can(Die):
+			add(ProcessDies, i, 0)
+		}
+		switch {
+		case r.silent:
+			add(MachineBack, i, 0)
+		case w.can(Silence) && !r.down:
+			add(MachineSilent, i, 0)
+		}
+		if w.can(Drain) {
+			if r.status == dahliaford.Ready {
+				add(SayDraining, i, 0)
+			} else {
+				add(SayReady, i, 0)
+			}
+			if r.status != dahliaford.Gone {
+				add(SayGone, i, 0)
+			}
+		}
+	}
+	if w.asked {
+		add(WatchAnswered, 0, 0)
+		if w.can(LoseWatch) {
+			add(WatchAnew, 0, 0)
+		}
+	}
+	if w.can(LoseWatch) {
+		add(WatchLost, 0, 0)
+	}
+	if w.can(Reload) {
+		add(ReloadConfig, 0, 0)
+	}
+	if w.can(Stop) && !w.stopped {
+		add(SigTerm, 0, 0)
+	}
+	if w.can(Panic) && !w.breaks {
+		add(ModuleBreaks, 0, 0)
+	}
+	if due := w.due(); due != 0 && w.busy() {
+		add(Tick, 0, 0)
+		if w.can(Jitter) && due > w.now+jitter {
+			add(JustBefore, 0, 0)
+		}
+		if w.can(Jitter) && due == w.wake && due > w.now {
+			add(JustAfter, 0, 0)
+		}
+	}
+	return out
+}
+
+// onItsWay tells whether a request that a withdrawal is about is still on its way there.
+func (w *World) onItsWay(wd *withdraw) bool {
+	for i := range w.routes {
+		if r := &w.routes[i]; r.task == wd.task && r.phase == closing {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *World) routeSteps(i int, out []Action) []Action {
+	r := &w.routes[i]
+	to := &w.regions[r.region]
+	add := func(k Kind, b uint8) { out = append(out, Action{k, uint8(i), b}) }
+	if r.unheard {
+		add(HearWritten, 0)
+	}
+	switch r.phase {
+	case connecting:
+		switch {
+		case to.silent: // it never comes up
+		case to.down:
+			add(RefuseRoute, 0)
+		default:
+			add(Write, 0)
+			if w.can(Refuse) {
+				add(RefuseRoute, 0)
+			}
+		}
+	case written:
+		if to.silent {
+			break
+		}
+		add(Arrive, accept)
+		if to.status != dahliaford.Ready || w.can(TurnAway) {
+			add(Arrive, turnAway)
+		}
+		if w.can(Err) {
+			add(Arrive, replyError)
+		}
+		if w.can(Reject) {
+			add(Arrive, replyReject)
+		}
+		if w.can(Break) {
+			add(BreakRoute, breakLost)
+			add(BreakRoute, breakRan)
+		}
+	case replied:
+		if to.silent {
+			break
+		}
+		if !r.unheard || w.cfg.Overtake {
+			add(HearAnswer, 0)
+		}
+		if w.can(Break) {
+			add(BreakRoute, breakAnswer)
+		}
+	case broken:
+		if !r.unheard || w.cfg.Overtake {
+			add(HearBroken, 0)
+		}
+	case closing:
+		if !to.silent {
+			add(CloseArrives, 0)
+			add(CloseArrives, 1)
+		}
+	}
+	return out
+}
+
+// fair appends the step that a fair world takes next, or nothing once it is at rest.
+func (w *World) fair(out []Action) []Action {
+	for i := range w.regions {
+		r := &w.regions[i]
+		if r.silent {
+			return append(out, Action{MachineBack, uint8(i), 0})
+		}
+	}
+	if w.asked {
+		return append(out, Action{Kind: WatchAnswered})
+	}
+	for i := range w.routes {
+		var steps []Action
+		for _, a := range w.routeSteps(i, steps) {
+			if a.Kind != CloseArrives || a.B == 1 { // the worst that may be of a close
+				return append(out, a)
+			}
+		}
+	}
+	if len(w.calls) > 0 {
+		return append(out, Action{Kind: Tell})
+	}
+	for i := range w.withdraws {
+		if w.withdraws[i].phase == replied {
+			return append(out, Action{WithdrawAnswered, uint8(i), 0})
+		}
+		return append(out, Action{WithdrawArrives, uint8(i), 0})
+	}
+	if w.exited || w.wake == 0 || w.over() && w.wake > w.rest {
+		return out
+	}
+	return append(out, Action{Kind: Tick})
+}
+
+// mostRest is how long a fair world goes on after the last answer: longer than anything is
+// kept, and than a region that may hold a given-up task is called.
+const mostRest = 20 * second
+
+// apply takes one step. A step that is not enabled must not be passed.
+func (w *World) apply(a Action) {
+	i := int(a.A)
+	w.note("-- %s", w.words(a))
+	switch a.Kind {
+	case Submit:
+		q := &w.requests[i]
+		w.submit(q)
+	case SubmitAgain:
+		w.spend(SameID)
+		w.requests = append(w.requests, request{class: w.requests[i].class, id: uint8(i)})
+		w.submit(&w.requests[len(w.requests)-1])
+	case ClientLeaves:
+		w.spend(Leave)
+		q := &w.requests[i]
+		q.state = gone
+		w.step(scheduler.CallerLeft{Caller: q.caller})
+	case Tell, TellAndKeep, LoseCall:
+		w.applyCall(a, i)
+	case Begin, Finish, FailJob, HandBackJob, KillJob:
+		w.applyJob(a, i)
+	case WithdrawArrives, WithdrawAnswered, WithdrawBreaks:
+		w.applyWithdraw(a, i)
+	case ProcessDies, ProcessStarts, MachineSilent, MachineBack, SayDraining, SayGone, SayReady:
+		w.applyRegion(a, i)
+	case WatchLost:
+		w.spend(LoseWatch)
+		w.watching = false
+		w.step(scheduler.TableLost{})
+	case WatchAnswered:
+		w.answerWatch()
+	case WatchAnew:
+		w.spend(LoseWatch)
+		w.rev = 1
+		w.answerWatch()
+	case ReloadConfig:
+		w.spend(Reload)
+		w.step(scheduler.Reloaded{Discovery: "another"})
+	case SigTerm:
+		w.spend(Stop)
+		w.stopped = true
+		w.step(scheduler.Stopping{})
+	case ModuleBreaks:
+		w.spend(Panic)
+		w.breaks = true
+	case Tick, JustBefore, JustAfter:
+		w.applyTime(a)
+	default:
+		w.applyRoute(a, i)
+	}
+	w.inTime()
+}
+
+func (w *World) submit(q *request) {
+	w.caller++
+	q.state, q.caller, q.deadline = open, w.caller, w.now+q.class.deadline()
+	w.step(scheduler.Submitted{Caller: q.caller, ID: txn(q.id), Class: q.class.String(), Tenant: "sahel",
+		Deadline: q.deadline, Slots: 1})
+}
+
+func (w *World) applyRoute(a Action, i int) {
+	r := &w.routes[i]
+	if a.Kind == Write {
+		w.writes(r)
+		r.phase, r.unheard, r.sent = written, true, w.now
+		if !w.cfg.Overtake {
+			w.hearWritten(i)
+		}
+		return
+	}
+	switch a.Kind {
+	case HearWritten:
+		w.hearWritten(i)
+	case RefuseRoute:
+		if !w.regions[r.region].down {
+			w.spend(Refuse)
+		}
+		_, e := r.link.Wrote(true, true)
+		w.endRoute(i, e)
+	case Arrive:
+		w.arrive(i, a.B)
+	case BreakRoute:
+		w.spend(Break)
+		if a.B == breakRan {
+			w.arrives(r)
+			w.runs(r.id, r.region, r.sent)
+		}
+		r.phase = broken
+	case HearBroken:
+		_, e := r.link.Broke()
+		if e == nil {
+			r.phase = halfHeard // the writer's word is still to come
+			return
+		}
+		w.endRoute(i, e)
+	case HearAnswer:
+		_, e := r.link.Answered(link.Answer{Status: r.status, TurnedAway: r.status == 503})
+		w.endRoute(i, e)
+	case CloseArrives:
+		id, region, sent, task := r.id, r.region, r.sent, r.task
+		if a.B == 1 && !w.regions[region].down {
+			w.arrives(r)
+			w.jobs = append(w.jobs, job{id: id, region: region, task: task, sent: sent})
+		}
+		w.dropRoute(i)
+	}
+}
+
+func (w *World) hearWritten(i int) {
+	r := &w.routes[i]
+	r.unheard = false
+	if q := &w.requests[r.id]; q.last == r.task && q.stage == stageConnecting {
+		q.stage = stageWritten
+	}
+	if _, e := r.link.Wrote(false, false); e != nil {
+		w.endRoute(i, e)
+	}
+}
+
+// endRoute drops a route whose errand is over and passes on what that means.
+func (w *World) endRoute(i int, e scheduler.Event) {
+	w.dropRoute(i)
+	if e != nil {
+		w.step(e)
+	}
+}
+
+func (w *World) arrive(i int, way uint8) {
+	r := &w.routes[i]
+	r.phase = replied
+	switch way {
+	case accept:
+		w.arrives(r)
+		r.status = 202
+		w.jobs = append(w.jobs, job{id: r.id, region: r.region, task: r.task, sent: r.sent})
+	case turnAway:
+		if w.regions[r.region].status == dahliaford.Ready {
+			w.spend(TurnAway)
+		}
+		w.arrives(r)
+		r.status = 503
+	case replyError:
+		w.spend(Err)
+		w.arrives(r)
+		w.runs(r.id, r.region, r.sent)
+		r.status = 500
+	case replyReject:
+		w.spend(Reject)
+		r.status = 400
+	}
+}
+
+func (w *World) applyJob(a Action, i int) {
+	j := w.jobs[i]
+	say := func(n scheduler.News) { w.calls = append(w.calls, call{j.id, j.region, n}) }
+	switch a.Kind {
+	case Begin:
+		w.jobs[i].running = true
+		w.runs(j.id, j.region, j.sent)
+		say(scheduler.NewsStarted)
+		return
+	case Finish:
+		w.requests[j.id].made |= 1 << j.region
+		say(scheduler.NewsDone)
+	case FailJob:
+		w.spend(Fail)
+		say(scheduler.NewsFailed)
+	case HandBackJob:
+		w.spend(HandBack)
+		say(scheduler.NewsReturned)
+	case KillJob:
+		w.spend(Kill)
+		if !j.running { // nobody can say that it did not run
+			w.runs(j.id, j.region, j.sent)
+		}
+		say(scheduler.NewsLost)
+	}
+	w.dropJob(i)
+}
+
+func (w *World) applyCall(a Action, i int) {
+	c := w.calls[i]
+	switch a.Kind {
+	case LoseCall:
+		w.spend(Lose)
+		w.dropCall(i)
+		return
+	case TellAndKeep:
+		w.spend(Repeat)
+	case Tell:
+		w.dropCall(i)
+	}
+	told := scheduler.Told{ID: txn(c.id), From: uid(int(c.region)), News: c.news}
+	if c.news == scheduler.NewsDone {
+		told.Result = []byte(txn(c.id) + " by " + uid(int(c.region)))
+	}
+	w.step(told)
+}
+
+func (w *World) applyWithdraw(a Action, i int) {
+	wd := &w.withdraws[i]
+	var e scheduler.Event
+	switch a.Kind {
+	case WithdrawArrives:
+		if w.regions[wd.region].down {
+			_, e = wd.link.Wrote(true, true)
+			break
+		}
+		if j := w.jobOf(wd.id, wd.region); j >= 0 {
+			w.dropJob(j)
+		}
+		wd.phase = replied
+		return
+	case WithdrawAnswered:
+		wd.link.Wrote(false, false)
+		_, e = wd.link.Answered(link.Answer{Status: 200})
+	case WithdrawBreaks:
+		w.spend(Break)
+		wd.link.Wrote(false, false)
+		_, e = wd.link.Broke()
+	}
+	w.dropWithdraw(i)
+	w.step(e)
+}
+
+func (w *World) applyRegion(a Action, i int) {
+	r := &w.regions[i]
+	switch a.Kind {
+	case ProcessDies:
+		w.spend(Die)
+		r.down = true
+		for n := len(w.jobs) - 1; n >= 0; n-- {
+			if j := w.jobs[n]; int(j.region) == i {
+				w.calls = append(w.calls, call{j.id, j.region, scheduler.NewsLost})
+				w.dropJob(n)
+			}
+		}
+		for n := len(w.routes) - 1; n >= 0; n-- {
+			if t := &w.routes[n]; int(t.region) == i {
+				switch t.phase {
+				case written:
+					t.phase = broken
+				case closing:
+					w.dropRoute(n)
+				}
+			}
+		}
+		return
+	case ProcessStarts:
+		r.down = false
+		r.begun, r.fresh = w.now, nil
+	case MachineSilent:
+		w.spend(Silence)
+		r.silent = true
+		return
+	case MachineBack:
+		r.silent = false
+		return
+	case SayDraining:
+		w.spend(Drain)
+		r.status = dahliaford.Draining
+	case SayGone:
+		w.spend(Drain)
+		r.status = dahliaford.Gone
+	case SayReady:
+		w.spend(Drain)
+		r.status = dahliaford.Ready
+	}
+	w.rev++
+	if w.watching {
+		w.told()
+		w.step(scheduler.TableRead{Table: w.table(false, i)})
+	}
+}
+
+func (w *World) applyTime(a Action) {
+	due := w.due()
+	switch a.Kind {
+	case JustBefore:
+		w.spend(Jitter)
+		w.now = due - jitter
+		return
+	case JustAfter:
+		w.spend(Jitter)
+		w.now = due + jitter
+		return
+	}
+	w.now = max(w.now, due)
+	for i := range w.routes {
+		if r := &w.routes[i]; r.phase == connecting && r.writeBy <= w.now {
+			_, e := r.link.Wrote(true, false)
+			w.endRoute(i, e)
+			return
+		}
+	}
+	if w.wake != 0 && w.wake <= w.now {
+		w.wake = 0
+		w.step(scheduler.Woke{})
+	}
+}
+
+// words says in words what a step does, before it is taken.
+func (w *World) words(a Action) string {
+	i := int(a.A)
+	switch a.Kind {
+	case Submit, SubmitAgain:
+		q := &w.requests[i]
+		return fmt.Sprintf("client submits %s, a %v, and waits %v", txn(q.id), q.class, span(q.class.deadline()))
+	case ClientLeaves:
+		return fmt.Sprintf("client of %s leaves", txn(w.requests[i].id))
+	case RefuseRoute, Write, HearWritten, Arrive, BreakRoute, HearBroken, HearAnswer, CloseArrives:
+		r := &w.routes[i]
+		what := map[Kind]string{RefuseRoute: "its connection does not come up", Write: "is written out",
+			HearWritten: "loop hears that it is written", HearBroken: "loop hears that its connection ended",
+			HearAnswer: fmt.Sprintf("loop hears the answer %d", r.status)}[a.Kind]
+		switch a.Kind {
+		case Arrive:
+			what = [...]string{"arrives and is accepted (202 on its way)", "arrives and is turned away",
+				"arrives and gets a 500", "arrives and gets a 400"}[a.B]
+		case BreakRoute:
+			what = [...]string{"connection breaks, nothing arrived", "arrives and runs until its connection breaks",
+				"connection breaks, the region's answer is lost"}[a.B]
+		case CloseArrives:
+			what = [...]string{"our close arrives before its 202", "our close crosses its 202: the region holds it"}[a.B]
+		}
+		return fmt.Sprintf("task %d (%s at %s): %s", r.task, txn(r.id), uid(int(r.region)), what)
+	case Begin, Finish, FailJob, HandBackJob, KillJob:
+		j := &w.jobs[i]
+		what := map[Kind]string{Begin: "begins to run", Finish: "is done", FailJob: "fails",
+			HandBackJob: "hands back unstarted", KillJob: "loses"}[a.Kind]
+		if a.Kind == HandBackJob || a.Kind == KillJob {
+			return fmt.Sprintf("%s %s %s", uid(int(j.region)), what, txn(j.id))
+		}
+		return fmt.Sprintf("%s at %s %s", txn(j.id), uid(int(j.region)), what)
+	case Tell, TellAndKeep, LoseCall:
+		c := &w.calls[i]
+		news := map[scheduler.News]string{scheduler.NewsStarted: "started", scheduler.NewsDone: "done",
+			scheduler.NewsFailed: "failed", scheduler.NewsReturned: "returned", scheduler.NewsLost: "lost"}[c.news]
+		end := map[Kind]string{Tell: "", TellAndKeep: " (and will again)", LoseCall: ", which never gets through"}[a.Kind]
+		return fmt.Sprintf("%s calls back: %s %s%s", uid(int(c.region)), txn(c.id), news, end)
+	case WithdrawArrives, WithdrawAnswered, WithdrawBreaks:
+		wd := &w.withdraws[i]
+		what := map[Kind]string{WithdrawArrives: "comes", WithdrawAnswered: "is answered", WithdrawBreaks: "breaks off"}
+		return fmt.Sprintf("DELETE of %s to %s %s", txn(wd.id), uid(int(wd.region)), what[a.Kind])
+	case ProcessDies, ProcessStarts, MachineSilent, MachineBack, SayDraining, SayGone, SayReady:
+		what := map[Kind]string{ProcessDies: "its process dies", ProcessStarts: "its process starts again",
+			MachineSilent: "its machine falls silent", MachineBack: "its machine is back",
+			SayDraining: "is said to drain", SayGone: "is said to be gone", SayReady: "is said to be ready"}
+		return fmt.Sprintf("%s: %s", uid(i), what[a.Kind])
+	case Tick:
+		return fmt.Sprintf("%v pass", span(max(w.due()-w.now, 0)))
+	}
+	return map[Kind]string{WatchLost: "the watch of the service table is lost",
+		WatchAnswered: "discovery answers the watch", WatchAnew: "discovery answers, its table started anew",
+		ReloadConfig: "a new configuration holds", SigTerm: "SIGTERM", ModuleBreaks: "the module is about to break down",
+		JustBefore: "time passes until just before the next due point",
+		JustAfter:  "time passes until just after the next due point"}[a.Kind]
+}
--- /dev/null
+++ b/internal/explore/config.go
@@ -0,0 +1,194 @@
+package explore
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"dahliaford/internal/settings"
+)
+
+// Fault is a thing that the world may do wrong, or that a party may do at any time. A
+// budget bounds how often.
+type Fault uint8
+
+// The faults.
+const (
+	Refuse    Fault = iota // a connection does not come up
+	Break                  // a connection breaks after the last byte
+	TurnAway               // a region turns a task away
+	Err                    // a region answers 500
+	Reject                 // a region answers 400
+	Repeat                 // a callback comes once more, at any later time
+	Lose                   // a callback never gets through
+	Fail                   // a job fails
+	HandBack               // a region hands a job back unstarted
+	Kill                   // a region loses a job
+	Die                    // a region's process dies; it may start again
+	Silence                // a region's machine falls silent; it may come back
+	Drain                  // a region is said to drain, to be gone, or to be ready again
+	Leave                  // a client leaves
+	SameID                 // the same id is submitted again
+	LoseWatch              // the watch of the service table is lost, or starts anew
+	Reload                 // a new configuration holds
+	Stop                   // SIGTERM
+	Panic                  // the module breaks down at the next event that it gets
+	Jitter                 // something comes just before a due point, or just after it
+	faults
+)
+
+var faultNames = [faults]string{"refuse", "break", "turn-away", "error", "reject", "repeat", "lose", "fail",
+	"hand-back", "kill", "die", "silence", "drain", "leave", "same-id", "lose-watch", "reload", "stop", "panic",
+	"jitter"}
+
+func (f Fault) String() string { return faultNames[f] }
+
+// Class is the class of a request in a world.
+type Class uint8
+
+// The classes: of a post-reading nothing may run twice; a batch may be repeated within
+// its rack and window.
+const (
+	Post Class = iota
+	Batch
+)
+
+func (c Class) String() string { return [...]string{"post-reading", "district-batch"}[c] }
+
+// Config describes a world.
+type Config struct {
+	Name  string
+	About string
+	// Requests are the classes of those that the client sends, in this order.
+	Requests []Class
+	// Racks has the rack of each region.
+	Racks []int
+	// Faults has how often each may happen, Most how many in all.
+	Faults [faults]uint8
+	Most   uint8
+	// Overtake lets a region's answer reach the loop before the writer's word.
+	Overtake bool
+	// DeleteOvertakes lets a DELETE overtake the request that it is about. No scheduler
+	// can do anything about that: see docs/design.md.
+	DeleteOvertakes bool
+	// Small worlds are explored in CI.
+	Small bool
+
+	settings settings.Settings
+}
+
+// The times of the tiny world. They are longer against the granularity than those of a
+// real one, so that few due points lie within a request's life.
+const worldSettings = `{"balancers":1,"me":0,"granularity":50000,"azs":["north"],"kinds":["m1"],
+	"grades":[
+	{"name":"post-reading","semantics":"at_most_once","slo":500000,"deadline":1000000,"worth":2},
+	{"name":"district-batch","semantics":"deduplicated","dedup_scope":"cell","memory_span":1500000,
+	 "slo":800000,"deadline":1400000,"worth":3}],
+	"customers":[{"name":"sahel"}],
+	"family_info":{"class_stretch":[0,0],"tells_start":true},"discovery":"on_request",
+	"limits":{"attempts_cap":4,"cancel":true,"connect_timeout":150000,"max_retry_after":2000000},
+	"guarantees":{"cold":2000000,"cold_from":0.3,"fall":400000,"overload_factor":1,"ask_within":10000000,
+	 "drain_grace":500000}}`
+
+const (
+	deadlineOfPost  = 1000 * millisecond
+	deadlineOfBatch = 1400 * millisecond
+	window          = 1500 * millisecond
+	drainGrace      = 500 * millisecond
+	fall            = 400 * millisecond
+	coldFor         = 2 * second
+	mostAttempts    = 4
+	start           = 1000 * second
+)
+
+func (c Class) deadline() Micros {
+	if c == Post {
+		return deadlineOfPost
+	}
+	return deadlineOfBatch
+}
+
+func (c *Config) prepare() error {
+	if len(c.settings.Classes) > 0 {
+		return nil
+	}
+	if len(c.Requests) == 0 || len(c.Requests) > mostRequests || len(c.Racks) == 0 || len(c.Racks) > mostRegions {
+		return fmt.Errorf("world %q: 1 to %d requests and 1 to %d regions", c.Name, mostRequests, mostRegions)
+	}
+	var err error
+	c.settings, err = settings.Parse([]byte(worldSettings))
+	return err
+}
+
+const (
+	mostRequests = 8
+	mostRegions  = 8
+)
+
+type budget map[Fault]uint8
+
+func world(name, about string, most uint8, requests []Class, racks []int, b budget) *Config {
+	c := &Config{Name: name, About: about, Most: most, Requests: requests, Racks: racks}
+	for f, n := range b {
+		c.Faults[f] = n
+	}
+	return c
+}
+
+var worlds = func() []*Config {
+	network := budget{Refuse: 2, Break: 2, TurnAway: 2, Err: 2, Reject: 1}
+	callbacks := budget{Repeat: 2, Lose: 1, Fail: 1, HandBack: 2, Kill: 1, TurnAway: 1}
+	all := budget{}
+	for f := range faults {
+		all[f] = 1
+	}
+	list := []*Config{
+		world("attempt", "one post-reading, two regions, the network and the regions at fault up to 3 times", 3,
+			[]Class{Post}, []int{0, 0}, merge(network, callbacks, budget{Leave: 1, Jitter: 1})),
+		world("keyed", "one district-batch, two regions in a rack and one outside, up to 2 faults", 2,
+			[]Class{Batch}, []int{0, 0, 1}, merge(network, callbacks, budget{Leave: 1, Die: 1})),
+		world("link", "one post-reading, one region, answers overtake the writer's word", 3,
+			[]Class{Post}, []int{0}, merge(network, budget{Leave: 1, Jitter: 1, SameID: 1, Repeat: 1})),
+		world("table", "one request, two regions, the table changes under it, up to 3 times", 3,
+			[]Class{Batch}, []int{0, 0}, budget{Drain: 3, LoseWatch: 1, Reload: 1, TurnAway: 1, Die: 1, Refuse: 1}),
+		world("crash", "one request, processes die, machines fall silent, the module breaks down", 2,
+			[]Class{Batch}, []int{0, 0}, budget{Die: 2, Silence: 1, Panic: 1, Stop: 1, Break: 1, Leave: 1}),
+		world("small", "a post-reading and a district-batch, two regions, any one fault", 1,
+			[]Class{Post, Batch}, []int{0, 0}, all),
+	}
+	list[2].Overtake = true
+	hole := world("hole", "one post-reading, one region, and a DELETE may overtake its request: known to break",
+		1, []Class{Post}, []int{0}, budget{Leave: 1})
+	hole.DeleteOvertakes = true
+	list = append(list, hole)
+	for _, c := range list {
+		c.Small = c.Name != "small" && c.Name != "hole"
+	}
+	return list
+}()
+
+func merge(budgets ...budget) budget {
+	all := budget{}
+	for _, b := range budgets {
+		for f, n := range b {
+			all[f] = max(all[f], n)
+		}
+	}
+	return all
+}
+
+// Worlds are the worlds that are known by name.
+func Worlds() []*Config { return slices.Clone(worlds) }
+
+// ByName finds a world. The error names those that there are.
+func ByName(name string) (*Config, error) {
+	var names []string
+	for _, c := range worlds {
+		if c.Name == name {
+			copied := *c
+			return &copied, nil
+		}
+		names = append(names, c.Name)
+	}
+	return nil, fmt.Errorf("unknown world %q: there are %s", name, strings.Join(names, ", "))
+}
--- /dev/null
+++ b/internal/explore/coverage.go
@@ -0,0 +1,211 @@
+package explore
+
+import (
+	"fmt"
+	"slices"
+
+	"dahliaford"
+	"dahliaford/internal/scheduler"
+)
+
+// stage is how far an attempt is, as the scheduler has heard.
+type stage uint8
+
+const (
+	stageNone stage = iota
+	stageConnecting
+	stageWritten
+	stageAccepted
+	stageStarted
+	stageGivenUp
+	stageEnded
+	stageEarlier // the event is about an attempt before the last one
+	stages
+)
+
+var stageNames = [stages]string{"none", "connecting", "written", "accepted", "started", "given up", "ended",
+	"earlier"}
+
+// eventKind tells events apart for coverage.
+type eventKind uint8
+
+const (
+	evSubmitted eventKind = iota
+	evLeft
+	evAccepted
+	evConnectFailed
+	evReset
+	evTurnedAway
+	evError
+	evRejected
+	evStarted
+	evDone
+	evFailed
+	evReturned
+	evLost
+	evWithdrawn
+	evNotWithdrawn
+	evTable
+	evTableLost
+	evReloaded
+	evWoke
+	evStopping
+	evBreakdown
+	evKinds
+)
+
+var eventNames = [evKinds]string{"submitted", "caller left", "accepted", "connect failed", "reset", "turned away",
+	"error", "rejected", "told started", "told done", "told failed", "told returned", "told lost", "withdrawn",
+	"not withdrawn", "table read", "table lost", "reloaded", "woke", "stopping", "breakdown"}
+
+// Coverage counts, for each kind of event, in which stages of an attempt it was met.
+type Coverage [evKinds][stages]uint64
+
+func (c *Coverage) add(o *Coverage) {
+	for e := range c {
+		for s := range c[e] {
+			c[e][s] += o[e][s]
+		}
+	}
+}
+
+// impossible are the pairs that no world can have, and why. All others should be met.
+func impossible(e eventKind, s stage) string {
+	about := e >= evAccepted && e <= evRejected // of a task on its connection
+	told := e >= evStarted && e <= evLost
+	switch {
+	case s == stageEarlier && (e == evSubmitted || e == evLeft || e >= evTable):
+		return "concerns no task of its own"
+	case (about || told || e == evWithdrawn || e == evNotWithdrawn) && s == stageNone:
+		return "needs a task"
+	case about && e != evConnectFailed && s == stageConnecting:
+		return "needs the last byte"
+	case about && (s == stageAccepted || s == stageStarted) && e != evAccepted:
+		return "the connection has had its answer"
+	case e == evAccepted && s == stageAccepted:
+		return "one answer on a connection"
+	case about && s == stageGivenUp:
+		return "its connection is closed"
+	case e == evConnectFailed && (s == stageWritten || s == stageStarted):
+		return "its last byte is out"
+	case about && s == stageEnded && e != evAccepted:
+		return "its connection has had its end"
+	case about && s == stageEarlier && e != evAccepted:
+		return "its connection had its end before"
+	case told && s == stageConnecting:
+		return "its last byte is not out"
+	case (e == evWithdrawn || e == evNotWithdrawn) && s >= stageConnecting && s <= stageStarted:
+		return "only what is given up or ended is withdrawn"
+	}
+	return ""
+}
+
+// Missed lists the pairs of event and stage that are possible and were not met.
+func (c *Coverage) Missed() (missed []string) {
+	for e := range evKinds {
+		for s := range stages {
+			if c[e][s] == 0 && impossible(e, s) == "" {
+				missed = append(missed, fmt.Sprintf("%s while %s", eventNames[e], stageNames[s]))
+			}
+		}
+	}
+	return missed
+}
+
+// Table gives the counts, a line a kind of event, a column a stage; "-" marks what no
+// world can have.
+func (c *Coverage) Table() [][]string {
+	table := [][]string{append([]string{"event"}, stageNames[:]...)}
+	for e := range evKinds {
+		line := []string{eventNames[e]}
+		for s := range stages {
+			cell := fmt.Sprint(c[e][s])
+			if c[e][s] == 0 && impossible(e, s) != "" {
+				cell = "-"
+			}
+			line = append(line, cell)
+		}
+		table = append(table, line)
+	}
+	return table
+}
+
+var newsKinds = map[scheduler.News]eventKind{scheduler.NewsStarted: evStarted, scheduler.NewsDone: evDone,
+	scheduler.NewsFailed: evFailed, scheduler.NewsReturned: evReturned, scheduler.NewsLost: evLost}
+
+var endKinds = map[dahliaford.Outcome]eventKind{dahliaford.ConnectFailed: evConnectFailed, dahliaford.Reset: evReset,
+	dahliaford.Full: evTurnedAway, dahliaford.Failed: evError}
+
+// see counts an event before it is passed on, and notes what the scheduler hears by it.
+func (w *World) see(e scheduler.Event) {
+	task := func(kind eventKind, t scheduler.Task, to stage) {
+		for i := range w.requests {
+			if q := &w.requests[i]; q.last == t && t != 0 {
+				w.cover[kind][q.stage]++
+				if to != stageNone && q.stage != stageGivenUp && q.stage != stageEnded {
+					q.stage = to
+				}
+				return
+			}
+		}
+		w.cover[kind][stageEarlier]++
+	}
+	all := func(kind eventKind) {
+		for i := range w.requests {
+			if q := &w.requests[i]; int(q.id) == i {
+				w.cover[kind][q.stage]++
+			}
+		}
+	}
+	switch e := e.(type) {
+	case scheduler.Submitted:
+		w.cover[evSubmitted][w.requests[idOf(e.ID)].stage]++
+	case scheduler.CallerLeft:
+		for i := range w.requests {
+			if q := &w.requests[i]; q.caller == e.Caller {
+				w.cover[evLeft][w.requests[q.id].stage]++
+			}
+		}
+	case scheduler.Accepted:
+		task(evAccepted, e.Task, stageAccepted)
+	case scheduler.Ended:
+		task(endKinds[e.Outcome], e.Task, stageEnded)
+	case scheduler.Rejected:
+		task(evRejected, e.Task, stageEnded)
+	case scheduler.Withdrawn:
+		task(map[bool]eventKind{true: evWithdrawn, false: evNotWithdrawn}[e.Reached], e.Task, stageNone)
+	case scheduler.Told:
+		to := stageEnded
+		if e.News == scheduler.NewsStarted {
+			to = stageStarted
+		}
+		q := &w.requests[idOf(e.ID)]
+		if q.at != regionOf(e.From) {
+			w.cover[newsKinds[e.News]][stageEarlier]++
+			break
+		}
+		task(newsKinds[e.News], q.last, to)
+	case scheduler.TableRead:
+		all(evTable)
+	case scheduler.TableLost:
+		all(evTableLost)
+	case scheduler.Reloaded:
+		all(evReloaded)
+	case scheduler.Woke:
+		all(evWoke)
+	case scheduler.Stopping:
+		all(evStopping)
+	}
+	if w.breaks {
+		all(evBreakdown)
+	}
+}
+
+// Sum adds coverages up.
+func Sum(all ...*Coverage) *Coverage {
+	total := &Coverage{}
+	for _, c := range slices.DeleteFunc(slices.Clone(all), func(c *Coverage) bool { return c == nil }) {
+		total.add(c)
+	}
+	return total
+}
--- /dev/null
+++ b/internal/explore/doc.go
@@ -0,0 +1,22 @@
+// Package explore drives the reducer, the decision module and the connections' state
+// machine through every order of events that a tiny world allows: a client, a few
+// requests, a few regions, a network that delays, loses and breaks, a service table, and
+// time. It drives the code that serves, not a copy of it, and checks stated properties of
+// what the client and the regions saw.
+//
+// The package has no I/O and no clock. A Config describes a world; Search explores it to
+// the end or to a budget; Replay plays a trace again; Walk goes a long way at random.
+// docs/explore.md says which abstraction makes the worlds finite.
+package explore
+
+import (
+	"dahliaford/internal/scheduler"
+)
+
+// Micros is a time in the world: microseconds since an arbitrary start.
+type Micros = scheduler.Micros
+
+const (
+	millisecond Micros = 1000
+	second             = 1000 * millisecond
+)
--- /dev/null
+++ b/internal/explore/properties.go
@@ -0,0 +1,270 @@
+package explore
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"dahliaford"
+	"dahliaford/internal/scheduler"
+)
+
+// Property is one of the rules that every world must keep.
+type Property uint8
+
+// The properties.
+const (
+	Answered      Property = iota + 1 // 1: one final answer before the client gives up; none to one that left
+	OneAttempt                        // 2: one attempt outstanding, as the regions see it
+	FourAttempts                      // 3: four attempts at most
+	RunsAsAllowed                     // 4: a post-reading never runs twice; a batch that may have run stays in rack and window
+	DrainsKept                        // 5: nothing new over 500 ms after a drain or an end was told
+	HonestAnswers                     // 6: a refusal only where a repeat is harmless; a result only from a region, for that request
+	ColdSpared                        // 7: a cold region gets no more than its budget
+	NothingLeaks                      // 8: when all is quiet, nothing is kept beyond its time
+	CalledBack                        // 9: whoever may hold a given-up attempt is told, once it can be reached
+	Ends                              // 10: time alone ends all requests
+)
+
+var propertyNames = [...]string{"", "one-final-answer", "one-attempt-outstanding", "four-attempts",
+	"runs-as-allowed", "drains-kept", "honest-answers", "cold-spared", "nothing-leaks", "called-back", "ends"}
+
+func (p Property) String() string { return propertyNames[p] }
+
+// Properties are all of them.
+func Properties() []Property {
+	return []Property{Answered, OneAttempt, FourAttempts, RunsAsAllowed, DrainsKept, HonestAnswers, ColdSpared,
+		NothingLeaks, CalledBack, Ends}
+}
+
+// Broken says which property broke, and how.
+type Broken struct {
+	Property Property
+	Text     string
+}
+
+func (b *Broken) Error() string { return b.Property.String() + ": " + b.Text }
+
+func (w *World) fail(p Property, format string, args ...any) {
+	if w.broke == nil {
+		w.broke = &Broken{p, fmt.Sprintf(format, args...)}
+	}
+}
+
+func span(m Micros) time.Duration { return time.Duration(m) * time.Microsecond }
+
+// answer checks properties 1 and 6 on an answer.
+func (w *World) answer(a scheduler.Answer) {
+	var q *request
+	for i := range w.requests {
+		if w.requests[i].caller == a.Caller {
+			q = &w.requests[i]
+		}
+	}
+	if q == nil {
+		w.fail(Answered, "an answer to nobody")
+		return
+	}
+	verdict := [...]string{"serves", "refuses", "fails", "calls invalid", "calls a conflict"}[a.Verdict]
+	w.note("scheduler %s %s %s", verdict, txn(q.id), a.Body)
+	w.oneAnswer(q)
+	w.honest(q, a)
+	q.state, q.verdict = answered, a.Verdict
+}
+
+// oneAnswer is property 1 where an answer is given.
+func (w *World) oneAnswer(q *request) {
+	switch {
+	case q.state == answered:
+		w.fail(Answered, "%s is answered twice", txn(q.id))
+	case q.state == gone:
+		w.fail(Answered, "%s is answered though its client left", txn(q.id))
+	case w.now > q.deadline:
+		w.fail(Answered, "%s is answered %v after its client gave up", txn(q.id), span(w.now-q.deadline))
+	}
+}
+
+// honest is property 6.
+func (w *World) honest(q *request, a scheduler.Answer) {
+	first := &w.requests[q.id]
+	switch a.Verdict {
+	case scheduler.Served:
+		region, ok := strings.CutPrefix(string(a.Body), txn(q.id)+" by ")
+		if !ok || first.made&(1<<regionOf(region)) == 0 {
+			w.fail(HonestAnswers, "%s is served %q, which no region made for it", txn(q.id), a.Body)
+		}
+	case scheduler.Refused:
+		if first.ran != 0 {
+			w.fail(HonestAnswers, "%s is refused though it may have run", txn(q.id))
+		}
+		for _, j := range w.jobs {
+			if j.id == q.id {
+				w.fail(HonestAnswers, "%s is refused while %s holds it", txn(q.id), uid(int(j.region)))
+			}
+		}
+		for _, r := range w.routes {
+			if r.id == q.id && r.phase == written {
+				w.fail(HonestAnswers, "%s is refused while it is on its way to %s", txn(q.id), uid(int(r.region)))
+			}
+		}
+	}
+}
+
+// arrives checks properties 2, 3, 4 and 7 when an attempt's last byte comes to a region.
+func (w *World) arrives(r *route) {
+	q := &w.requests[r.id]
+	if q.attempts++; q.attempts > mostAttempts {
+		w.fail(FourAttempts, "attempt %d of %s comes to %s", q.attempts, txn(r.id), uid(int(r.region)))
+	}
+	for _, j := range w.jobs {
+		if j.id == r.id {
+			w.fail(OneAttempt, "an attempt of %s comes to %s while %s holds one that nobody has called back there",
+				txn(r.id), uid(int(r.region)), uid(int(j.region)))
+		}
+	}
+	if q.class == Batch && q.ran != 0 {
+		for i := range w.regions {
+			if q.ran&(1<<i) != 0 && w.cfg.Racks[i] != w.cfg.Racks[r.region] {
+				w.fail(RunsAsAllowed, "%s may have run at %s and comes to %s, in another rack", txn(r.id), uid(i),
+					uid(int(r.region)))
+			}
+		}
+		if r.sent-q.firstRan > window {
+			w.fail(RunsAsAllowed, "%s may have run and is sent again %v later, past its window", txn(r.id),
+				span(r.sent-q.firstRan))
+		}
+	}
+	w.coldArrives(r)
+}
+
+// coldArrives is property 7. In these worlds the budget of a cold region is under one
+// job, so of those that know that it is cold one job may come within the window.
+func (w *World) coldArrives(r *route) {
+	to := &w.regions[r.region]
+	if to.begun == 0 || w.now-to.begun >= coldFor || to.status != dahliaford.Ready {
+		return
+	}
+	to.fresh = append(to.fresh, w.now)
+	if n := len(to.fresh); n > 1 && w.now-to.fresh[n-2] < fall {
+		w.fail(ColdSpared, "two jobs come to the cold %s within %v", uid(int(r.region)), span(w.now-to.fresh[n-2]))
+	}
+}
+
+// writes checks property 5 when a task's first byte goes out.
+func (w *World) writes(r *route) {
+	if told := w.regions[r.region].told; told != 0 && w.now-told > drainGrace {
+		w.fail(DrainsKept, "%s is written to %s, told %v ago to leave", txn(r.id), uid(int(r.region)),
+			span(w.now-told))
+	}
+}
+
+// runs checks property 4 when a job may begin to run.
+func (w *World) runs(id, at uint8, sent Micros) {
+	q := &w.requests[id]
+	if q.starts++; q.class == Post && q.starts > 1 {
+		w.fail(RunsAsAllowed, "%s runs for the second time, at %s", txn(id), uid(int(at)))
+	}
+	if q.ran == 0 {
+		q.firstRan = sent
+	}
+	q.ran |= 1 << at
+}
+
+// exit checks property 1 at the program's end.
+func (w *World) exit() {
+	w.exited = true
+	for i := range w.regions {
+		w.regions[i].cut = w.regions[i].silent
+	}
+	for i := range w.requests {
+		if w.requests[i].state == open {
+			w.fail(Answered, "the program ends and %s has no answer", txn(w.requests[i].id))
+		}
+	}
+}
+
+// inTime checks properties 1 and 10 whenever time has passed.
+func (w *World) inTime() {
+	for i := range w.requests {
+		q := &w.requests[i]
+		if q.state != open {
+			continue
+		}
+		if w.now > q.deadline+jitter {
+			w.fail(Answered, "%s has no answer %v after its client gave up", txn(q.id), span(w.now-q.deadline))
+		} else if w.now < q.deadline && (w.wake == 0 || w.wake > q.deadline) {
+			w.fail(Ends, "%s is open, and nothing is due before its client gives up", txn(q.id))
+		}
+	}
+}
+
+// over tells whether nobody waits any more.
+func (w *World) over() bool {
+	for i := range w.requests {
+		if w.requests[i].state == open {
+			return false
+		}
+	}
+	return true
+}
+
+// settle plays a fair end on a copy: no further fault, all that is on its way arrives, no
+// region ends a job by itself, and time passes. It checks properties 8, 9 and 10.
+func (w *World) settle() *Broken {
+	if w.broke != nil {
+		return w.broke
+	}
+	c := w.clone()
+	c.quiet, c.cover, c.rest = true, &Coverage{}, c.now+mostRest
+	var buf []Action
+	for steps := 0; ; steps++ {
+		if c.broke != nil {
+			return c.broke
+		}
+		if steps > mostSettling {
+			c.fail(Ends, "it does not come to rest")
+			return c.broke
+		}
+		buf = c.fair(buf[:0])
+		if len(buf) == 0 {
+			break
+		}
+		c.apply(buf[0])
+	}
+	for i := range c.requests {
+		if c.requests[i].state == open {
+			c.fail(Ends, "%s is open, and nothing more happens", txn(c.requests[i].id))
+		}
+	}
+	for _, j := range c.jobs {
+		if c.exited && c.regions[j.region].cut {
+			continue // nobody could reach it before the program's end
+		}
+		c.fail(CalledBack, "%s holds %s, which nobody waits for, and is never told", uid(int(j.region)), txn(j.id))
+	}
+	if c.exited {
+		return c.broke
+	}
+	c.now = max(c.now, c.rest)
+	c.step(scheduler.TableRead{}) // a heartbeat, as one comes every 2 s
+	if kept := c.s.Kept(); kept != (scheduler.Kept{}) {
+		c.fail(NothingLeaks, "long after the last answer the scheduler keeps %+v", kept)
+	}
+	return c.broke
+}
+
+const mostSettling = 500
+
+// About says what a property asks for.
+func (p Property) About() string {
+	return [...]string{"", "one final answer for each item, before the client gives up; none to one that left",
+		"only one attempt outstanding at a time, as the regions see it",
+		"no request gets more than 4 attempts",
+		"a post-reading never runs twice; a district-batch that may have run stays in its rack and window",
+		"nothing new goes to a region more than 500 ms after it was said to drain or to be gone",
+		"a refusal only where a repeat is harmless; a result that a region made for that very request",
+		"a cold region is not sent more than its budget",
+		"when all is answered and quiet, nothing is kept beyond its time",
+		"whoever may hold a given-up attempt is told so, once it can be reached",
+		"from every state time alone leads to all requests answered"}[p]
+}
--- /dev/null
+++ b/internal/explore/trace.go
@@ -0,0 +1,178 @@
+package explore
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// traceFormat numbers the form of trace files.
+const traceFormat = 1
+
+// Trace is a path to a state that broke a property, in a form that can be kept.
+type Trace struct {
+	Format   int    `json:"format"`
+	World    string `json:"world"`
+	Property string `json:"property"`
+	Text     string `json:"text"` // how it broke
+	Steps    []Step `json:"steps"`
+}
+
+// Step is one step of a trace. Do is what is replayed; Words are for people.
+type Step struct {
+	Do    string   `json:"do"`
+	Words string   `json:"words"`
+	Then  []string `json:"then,omitempty"` // what the scheduler did
+}
+
+// NewTrace makes a trace of what a search or a walk found.
+func NewTrace(cfg *Config, path []Action, broke *Broken) *Trace {
+	t := &Trace{Format: traceFormat, World: cfg.Name, Property: broke.Property.String(), Text: broke.Text}
+	w, err := newWorld(cfg)
+	if err != nil {
+		return t
+	}
+	for _, a := range path {
+		var notes []string
+		w.notes = &notes
+		step := Step{Do: a.String(), Words: w.words(a)}
+		w.apply(a)
+		step.Then = slices.Clone(notes[1:])
+		t.Steps = append(t.Steps, step)
+	}
+	return t
+}
+
+// ReadTrace reads a trace. Errors are one line.
+func ReadTrace(raw []byte) (*Trace, error) {
+	in := json.NewDecoder(bytes.NewReader(raw))
+	in.DisallowUnknownFields()
+	var t Trace
+	if err := in.Decode(&t); err != nil {
+		return nil, fmt.Errorf("not a trace: %w", err)
+	}
+	if in.More() {
+		return nil, fmt.Errorf("not a trace: something follows its object")
+	}
+	if t.Format != traceFormat {
+		return nil, fmt.Errorf("a trace of format %d; this program reads format %d", t.Format, traceFormat)
+	}
+	if _, err := ByName(t.World); err != nil {
+		return nil, err
+	}
+	if !slices.ContainsFunc(Properties(), func(p Property) bool { return p.String() == t.Property }) {
+		return nil, fmt.Errorf("unknown property %q", t.Property)
+	}
+	if _, err := t.path(); err != nil {
+		return nil, err
+	}
+	return &t, nil
+}
+
+func (t *Trace) path() ([]Action, error) {
+	var path []Action
+	for i, s := range t.Steps {
+		a, err := parseAction(s.Do)
+		if err != nil {
+			return nil, fmt.Errorf("step %d: %w", i+1, err)
+		}
+		path = append(path, a)
+	}
+	return path, nil
+}
+
+func parseAction(text string) (Action, error) {
+	words := strings.Fields(text)
+	if len(words) == 3 {
+		var a, b uint8
+		kind := slices.Index(kindNames[:], words[0])
+		if _, err := fmt.Sscanf(words[1]+" "+words[2], "%d %d", &a, &b); err == nil && kind >= 0 {
+			return Action{Kind(kind), a, b}, nil
+		}
+	}
+	return Action{}, fmt.Errorf("%q is no step", text)
+}
+
+// Verdict is what became of a trace that was played again.
+type Verdict struct {
+	Broken   *Broken  // what broke; nil: nothing
+	Diverged int      // the step that can no longer be taken, from 1; 0: all were
+	Fair     []string // the fair end, where the property broke only there
+}
+
+// Replay plays a trace again. say is called for each line of the account.
+func (t *Trace) Replay(say func(string)) (*Verdict, error) {
+	path, err := t.path()
+	if err != nil {
+		return nil, err
+	}
+	cfg, err := ByName(t.World)
+	if err != nil {
+		return nil, err
+	}
+	w, err := newWorld(cfg)
+	if err != nil {
+		return nil, err
+	}
+	began := w.now
+	for n, a := range path {
+		if !w.allows(a) {
+			say(fmt.Sprintf("%3d  cannot be taken any more: %s", n+1, t.Steps[n].Words))
+			return &Verdict{Diverged: n + 1}, nil
+		}
+		var notes []string
+		w.notes = &notes
+		at := span(w.now - began)
+		w.apply(a)
+		say(fmt.Sprintf("%3d  %8v  %s", n+1, at, strings.TrimPrefix(notes[0], "-- ")))
+		for _, note := range notes[1:] {
+			say("               -> " + note)
+		}
+		if now := w.notes; now != nil && w.broke != nil {
+			return &Verdict{Broken: w.broke}, nil
+		}
+	}
+	say("     in flight: " + w.flight())
+	if !w.over() && !w.exited {
+		return &Verdict{}, nil
+	}
+	var notes []string
+	w.notes = &notes
+	broke := w.settle()
+	if broke != nil {
+		say("     and if nothing else goes wrong from here on:")
+		for _, note := range notes {
+			if step, ok := strings.CutPrefix(note, "-- "); ok {
+				say("               " + step)
+			} else {
+				say("               -> " + note)
+			}
+		}
+	}
+	return &Verdict{Broken: broke, Fair: notes}, nil
+}
+
+// flight says what is on its way or held.
+func (w *World) flight() string {
+	var all []string
+	for _, r := range w.routes {
+		state := [...]string{"connecting", "written", "its answer on its way", "its end on its way",
+			"half heard", "our close on its way"}[r.phase]
+		all = append(all, fmt.Sprintf("task %d (%s to %s, %s)", r.task, txn(r.id), uid(int(r.region)), state))
+	}
+	for _, j := range w.jobs {
+		all = append(all, fmt.Sprintf("%s at %s, running %v", txn(j.id), uid(int(j.region)), j.running))
+	}
+	for _, c := range w.calls {
+		all = append(all, fmt.Sprintf("callback of %s about %s", uid(int(c.region)), txn(c.id)))
+	}
+	for _, wd := range w.withdraws {
+		all = append(all, fmt.Sprintf("DELETE of %s to %s", txn(wd.id), uid(int(wd.region))))
+	}
+	if len(all) == 0 {
+		return "nothing"
+	}
+	return strings.Join(all, "; ")
+}
--- /dev/null
+++ b/internal/explore/walk.go
@@ -0,0 +1,70 @@
+package explore
+
+import (
+	"context"
+	"math/rand/v2"
+)
+
+// Large is a world that is too large to be explored to its end: it is walked at random.
+func Large() *Config {
+	c := world("large", "six requests, four regions in two racks, all faults many times; walked at random, not to its end",
+		200, []Class{Post, Batch, Batch, Post, Batch, Post}, []int{0, 0, 1, 1}, nil)
+	for f := range faults {
+		c.Faults[f] = 40
+	}
+	c.Faults[SameID], c.Faults[Stop], c.Faults[Panic] = 2, 1, 3
+	c.Overtake = true
+	return c
+}
+
+// mostWalk is the longest that one walk goes on, in steps.
+const mostWalk = 4000
+
+// Walk walks a world from its root at random, again and again, until the context ends or
+// a property breaks. The same seed takes the same walks.
+func Walk(ctx context.Context, cfg *Config, seed uint64, opt Options) (*Result, error) {
+	r := &Result{World: cfg.Name, Coverage: &Coverage{}}
+	random := rand.New(rand.NewPCG(seed, 0))
+	for ctx.Err() == nil {
+		w, err := newWorld(cfg)
+		if err != nil {
+			return nil, err
+		}
+		w.cover = r.Coverage
+		var path []Action
+		broke := walk(w, func(n int) int { return random.IntN(n) }, &path)
+		r.States += int64(len(path))
+		r.Transitions += int64(len(path))
+		r.Depth = max(r.Depth, len(path))
+		if broke != nil {
+			r.Path, r.Broken = shorten(cfg, path, broke)
+			break
+		}
+		if opt.Seen != nil {
+			opt.Seen(r.States, r.Transitions)
+		}
+	}
+	return r, nil
+}
+
+// walk takes steps that pick chooses, up to the world's end, and then the fair end. Time
+// is held back while much can happen, or it would be over before anything did.
+func walk(w *World, pick func(n int) int, path *[]Action) *Broken {
+	var steps []Action
+	for range mostWalk {
+		steps = w.enabled(steps[:0])
+		if len(steps) == 0 {
+			break
+		}
+		a := steps[pick(len(steps))]
+		*path = append(*path, a)
+		w.apply(a)
+		if w.broke != nil {
+			return w.broke
+		}
+	}
+	if w.over() || w.exited {
+		return w.settle()
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/explore/world.go
@@ -0,0 +1,349 @@
+package explore
+
+import (
+	"fmt"
+
+	"dahliaford"
+	"dahliaford/internal/link"
+	"dahliaford/internal/scheduler"
+)
+
+// World is one state: the scheduler, and all that surrounds it.
+type World struct {
+	cfg    *Config
+	now    Micros
+	s      *scheduler.Scheduler
+	wake   Micros // what the timer is set to; 0: not set
+	breaks bool   // the module breaks down at the next event that it gets
+
+	requests  []request
+	regions   []region
+	routes    []route
+	jobs      []job
+	calls     []call
+	withdraws []withdraw
+	unsent    []scheduler.Task // given up before a byte was out
+
+	watching bool // discovery tells of changes at once
+	asked    bool // a watch has been asked for, and not been answered yet
+	rev      int64
+	left     [faults]uint8
+	most     uint8
+
+	stopped bool // SIGTERM came
+	exited  bool
+	quiet   bool   // the rest is settled: no more faults
+	rest    Micros // until when
+
+	broke  *Broken // the first property that broke
+	cover  *Coverage
+	notes  *[]string // what the scheduler did, in words; nil: nobody reads them
+	caller scheduler.Caller
+}
+
+type requestState uint8
+
+const (
+	unsent requestState = iota
+	open
+	answered
+	gone // its client left
+)
+
+// request is a submission of the client, and what the regions saw of its id.
+type request struct {
+	class    Class
+	id       uint8 // of the request that first had this id
+	state    requestState
+	caller   scheduler.Caller
+	deadline Micros
+	verdict  scheduler.Verdict
+
+	// Of the id, kept with the first request that had it.
+	attempts uint8
+	starts   uint8
+	ran      uint8  // regions, as bits, at which an attempt may have run
+	firstRan Micros // when the first attempt that may have run was sent
+	made     uint8  // regions, as bits, that made a result
+	last     scheduler.Task
+	at       uint8 // the region of the last task
+	stage    stage // of the last task, as far as the scheduler has heard
+	given    bool  // the scheduler has given the last task up
+}
+
+type region struct {
+	down   bool // its process is dead
+	silent bool // its machine is cut off
+	cut    bool // it was so when the program ended
+	status dahliaford.Status
+	begun  Micros // its start as told; 0: long ago
+	told   Micros // when it was last told to drain or to be gone; 0: it is ready
+	fresh  []Micros
+}
+
+func (r *region) reachable() bool { return !r.down && !r.silent }
+
+type phase uint8
+
+const (
+	connecting phase = iota
+	written          // the request is on its way
+	replied          // an answer is on its way
+	broken           // the connection's end is on its way
+	halfHeard        // the loop has heard of the end, and not of the writing
+	closing          // our close follows the request
+)
+
+// route is a routed task on its connection.
+type route struct {
+	task    scheduler.Task
+	id      uint8
+	region  uint8
+	phase   phase
+	unheard bool // the writer's word has not reached the loop
+	status  int
+	writeBy Micros
+	sent    Micros
+	link    link.Link
+}
+
+// job is an attempt that a region holds.
+type job struct {
+	id, region uint8
+	task       scheduler.Task
+	sent       Micros
+	running    bool
+}
+
+// call is a callback on its way.
+type call struct {
+	id, region uint8
+	news       scheduler.News
+}
+
+// withdraw is the withdrawal of a task on its connection.
+type withdraw struct {
+	task     scheduler.Task
+	id       uint8
+	region   uint8
+	phase    phase
+	deadline Micros
+	link     link.Link
+}
+
+// newWorld starts a world: the scheduler has begun, knows the table and watches it.
+func newWorld(cfg *Config) (*World, error) {
+	if err := cfg.prepare(); err != nil {
+		return nil, err
+	}
+	w := &World{cfg: cfg, now: start, rev: 1, left: cfg.Faults, most: cfg.Most, cover: &Coverage{}}
+	var err error
+	if w.s, err = scheduler.New(cfg.settings, 1); err != nil {
+		return nil, err
+	}
+	for i, class := range cfg.Requests {
+		w.requests = append(w.requests, request{class: class, id: uint8(i)})
+	}
+	for range cfg.Racks {
+		w.regions = append(w.regions, region{status: dahliaford.Ready})
+	}
+	w.step(scheduler.Began{Discovery: "discovery", Known: w.table(true)})
+	w.answerWatch()
+	return w, nil
+}
+
+func uid(region int) string { return "R" + string(rune('0'+region)) }
+func txn(id uint8) string   { return "t" + string(rune('0'+id)) }
+
+func regionOf(uid string) uint8 { return uid[1] - '0' }
+func idOf(txn string) uint8     { return txn[1] - '0' }
+
+func (w *World) line(i int) scheduler.Region {
+	r := &w.regions[i]
+	return scheduler.Region{UID: uid(i), Addr: uid(i), Zone: "north", Kind: "m1", Cell: w.cfg.Racks[i],
+		Status: r.status, Started: r.begun}
+}
+
+func (w *World) table(all bool, which ...int) scheduler.Table {
+	t := scheduler.Table{Rev: w.rev, All: all}
+	if all {
+		for i := range w.regions {
+			if w.regions[i].status != dahliaford.Gone {
+				t.Regions = append(t.Regions, w.line(i))
+			}
+		}
+	}
+	for _, i := range which {
+		t.Regions = append(t.Regions, w.line(i))
+	}
+	return t
+}
+
+// told marks what of the table the scheduler has now been told.
+func (w *World) told() {
+	for i := range w.regions {
+		r := &w.regions[i]
+		switch {
+		case r.status == dahliaford.Ready:
+			r.told = 0
+		case r.told == 0:
+			r.told = w.now
+		}
+	}
+}
+
+func (w *World) answerWatch() {
+	w.asked, w.watching = false, true
+	w.told()
+	w.step(scheduler.TableRead{Table: w.table(true)})
+}
+
+// ---- The scheduler and what it asks for
+
+// step passes an event to the scheduler as the node does, a breakdown and all.
+func (w *World) step(e scheduler.Event) {
+	w.see(e)
+	effects, broken := w.reduce(e)
+	if broken {
+		w.breaks = false
+		w.note("the module broke down and was started anew")
+		var err error
+		if effects, err = w.s.Recover(w.now); err != nil {
+			w.fail(Answered, "the module cannot be started anew: %v", err)
+		}
+	}
+	for _, effect := range effects {
+		w.carryOut(effect)
+	}
+}
+
+func (w *World) reduce(e scheduler.Event) (effects []scheduler.Effect, broken bool) {
+	defer func() {
+		if cause := recover(); cause != nil {
+			if !w.breaks {
+				w.fail(Answered, "a panic that nobody caused: %v", cause)
+			}
+			broken = true
+		}
+	}()
+	if w.breaks {
+		w.s.Break()
+	}
+	effects = w.s.Step(w.now, e, nil)
+	if w.breaks { // the event did not reach the module: it breaks down at the next
+		w.note("(the event was none for the module)")
+	}
+	return effects, false
+}
+
+func (w *World) carryOut(e scheduler.Effect) {
+	switch e := e.(type) {
+	case scheduler.Route:
+		w.note("scheduler routes %s to %s, to be written within %v", e.ID, e.UID, span(e.WriteBy-w.now))
+		r := route{task: e.Task, id: idOf(e.ID), region: regionOf(e.UID), writeBy: e.WriteBy}
+		r.link.Take(e.Task, false)
+		w.routes = append(w.routes, r)
+		q := &w.requests[r.id]
+		q.last, q.at, q.stage, q.given = e.Task, r.region, stageConnecting, false
+	case scheduler.Abandon:
+		w.note("scheduler closes the connection of its task at a region")
+		w.abandon(e.Task)
+	case scheduler.Withdraw:
+		w.note("scheduler tells %s to drop %s", e.Addr, e.ID)
+		w.give(e.Task)
+		wd := withdraw{task: e.Task, id: idOf(e.ID), region: regionOf(e.Addr), deadline: e.Deadline}
+		wd.link.Take(e.Task, true)
+		for _, task := range w.unsent {
+			if task == e.Task {
+				wd.phase = replied // nothing was ever out: the node need not ask
+			}
+		}
+		w.withdraws = append(w.withdraws, wd)
+	case scheduler.Answer:
+		w.answer(e)
+	case scheduler.Wake:
+		w.wake = e.At
+	case scheduler.Watch:
+		w.note("scheduler opens a watch of the service table")
+		w.asked, w.watching = true, false
+	case scheduler.Exit:
+		w.note("scheduler ends")
+		w.exit()
+	case scheduler.Log:
+		w.note("log: %s %v", e.Text, e.Args)
+	}
+}
+
+func (w *World) give(task scheduler.Task) {
+	for i := range w.requests {
+		if q := &w.requests[i]; q.last == task && task != 0 {
+			q.given, q.stage = true, stageGivenUp
+		}
+	}
+}
+
+// abandon closes the connection of a task. What was written may still be on its way.
+func (w *World) abandon(task scheduler.Task) {
+	for i := range w.withdraws {
+		if w.withdraws[i].task == task {
+			w.dropWithdraw(i)
+			return
+		}
+	}
+	w.give(task)
+	for i := range w.routes {
+		r := &w.routes[i]
+		if r.task != task || r.link.Dead {
+			continue
+		}
+		r.link.LetGo()
+		switch r.phase {
+		case connecting:
+			w.unsent = append(w.unsent, task)
+			w.dropRoute(i)
+		case written:
+			r.phase = closing
+		default: // its answer is out, or it broke: nothing more comes of it
+			w.dropRoute(i)
+		}
+		return
+	}
+}
+
+func (w *World) dropRoute(i int)    { w.routes = append(w.routes[:i:i], w.routes[i+1:]...) }
+func (w *World) dropJob(i int)      { w.jobs = append(w.jobs[:i:i], w.jobs[i+1:]...) }
+func (w *World) dropCall(i int)     { w.calls = append(w.calls[:i:i], w.calls[i+1:]...) }
+func (w *World) dropWithdraw(i int) { w.withdraws = append(w.withdraws[:i:i], w.withdraws[i+1:]...) }
+
+func (w *World) jobOf(id, region uint8) int {
+	for i := range w.jobs {
+		if w.jobs[i].id == id && w.jobs[i].region == region {
+			return i
+		}
+	}
+	return -1
+}
+
+func (w *World) note(format string, args ...any) {
+	if w.notes != nil {
+		*w.notes = append(*w.notes, fmt.Sprintf(format, args...))
+	}
+}
+
+// clone copies a state. Slices that are only ever replaced or appended to are copied; the
+// configuration is shared.
+func (w *World) clone() *World {
+	c := *w
+	c.s = w.s.Clone()
+	c.requests = append([]request(nil), w.requests...)
+	c.regions = append([]region(nil), w.regions...)
+	c.routes = append([]route(nil), w.routes...)
+	c.jobs = append([]job(nil), w.jobs...)
+	c.calls = append([]call(nil), w.calls...)
+	c.withdraws = append([]withdraw(nil), w.withdraws...)
+	c.unsent = append([]scheduler.Task(nil), w.unsent...)
+	for i := range c.regions {
+		c.regions[i].fresh = append([]Micros(nil), w.regions[i].fresh...)
+	}
+	return &c
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,7 +69,8 @@
 	callers  map[scheduler.Caller]*client
 	links    map[string][]*regionConn // by address; idle ones are used latest first
 	tasks    map[scheduler.Task]*regionConn
-	open     int // links
+	unsent   scheduler.Task // the last one that was given up before anything got out
+	open     int            // links
 	mostOpen int
 	slots    chan struct{} // one taken for each client connection
 	reserve  int           // slots that those who wait for an answer may not take
--- a/internal/node/region.go
+++ b/internal/node/region.go
@@ -7,6 +7,7 @@
 	"net/url"
 	"slices"
 	"strconv"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/mailru/easyjson/jlexer"
@@ -59,8 +60,16 @@
 	link.Link
 	id    string
 	since scheduler.Micros
+	gate  atomic.Int32 // of the errand: open, writing or shut; the first to move it wins
 }
 
+// The states of the gate between the loop, which may give an errand up, and the writer.
+const (
+	gateOpen int32 = iota
+	gateWriting
+	gateShut // nothing of the errand got out, nor will
+)
+
 // assign gives an errand to an idle connection to a region, or to a new one. It
 // fails when there is no room for another connection.
 func (n *Node) assign(addr string, e errand) (*regionConn, bool) {
@@ -88,6 +97,7 @@
 func (c *regionConn) take(e errand) {
 	c.Take(e.task, e.payload == nil)
 	c.id = e.id
+	c.gate.Store(gateOpen)
 	c.errands <- e // it has room: a connection has one errand at a time
 }
 
@@ -145,17 +155,31 @@
 func (n *Node) later(e scheduler.Event) { n.spawn(func() { n.post(e) }) }
 
 func (n *Node) abandon(task scheduler.Task) {
-	if l := n.tasks[task]; l != nil {
-		delete(n.tasks, task)
-		n.drop(l)
+	c := n.tasks[task]
+	if c == nil {
+		return
 	}
+	delete(n.tasks, task)
+	if c.Withdraw {
+		n.calls--
+	} else if c.gate.CompareAndSwap(gateOpen, gateShut) {
+		n.unsent = task // the withdrawal that follows has nobody to tell
+	}
+	n.drop(c)
 }
 
 func (n *Node) withdraw(w scheduler.Withdraw) {
-	if _, ok := n.assign(w.Addr, errand{id: w.ID, writeBy: w.Deadline, deadline: w.Deadline}); !ok {
+	if n.unsent == w.Task {
+		n.later(scheduler.Withdrawn{Task: w.Task, Reached: true})
+		return
+	}
+	c, ok := n.assign(w.Addr, errand{task: w.Task, id: w.ID, writeBy: w.Deadline, deadline: w.Deadline})
+	if !ok {
 		n.log.Warn("short on connections: a job is not withdrawn", "txn", w.ID)
+		n.later(scheduler.Withdrawn{Task: w.Task})
 		return
 	}
+	n.tasks[w.Task] = c
 	n.calls++
 }
 
@@ -202,10 +226,9 @@
 		}
 		return nil
 	}
+	delete(n.tasks, c.Task)
 	if c.Withdraw {
 		n.calls--
-	} else {
-		delete(n.tasks, c.Task)
 	}
 	if next == link.Drop {
 		n.drop(c)
@@ -251,6 +274,9 @@
 		case <-over: // ended while it idled: writing now would only look like a reset
 			err = net.ErrClosed
 		default:
+			if !c.gate.CompareAndSwap(gateOpen, gateWriting) {
+				return // given up just now
+			}
 			conn.SetWriteDeadline(n.at(e.writeBy))
 			_, err = conn.Write(e.bytes(n.now(), c.addr))
 		}
--- /dev/null
+++ b/internal/scheduler/copy.go
@@ -0,0 +1,182 @@
+package scheduler
+
+import (
+	"encoding/binary"
+	"maps"
+	"slices"
+
+	"dahliaford"
+)
+
+// What a checker needs of the reducer: to copy a state, to compare two, to break the
+// module down, and to see what is kept. The programs that serve use none of it.
+
+// Clone copies the state between two events.
+func (s *Scheduler) Clone() *Scheduler {
+	c := *s
+	c.out, c.feedback = nil, nil
+	if s.module != nil {
+		c.module = s.module.Clone()
+	}
+	c.regions = make(map[string]*region, len(s.regions))
+	c.byNumber = make(map[dahliaford.WorkerID]*region, len(s.byNumber))
+	for uid, r := range s.regions {
+		copied := *r
+		c.regions[uid], c.byNumber[r.number] = &copied, &copied
+	}
+	c.byCaller = make(map[Caller]*transaction, len(s.byCaller))
+	c.byID = make(map[string]*transaction, len(s.byID))
+	c.byJob = make(map[dahliaford.JobID]*transaction, len(s.byJob))
+	c.byTask = make(map[Task]*task, len(s.byTask))
+	for job, t := range s.byJob {
+		copied := *t
+		n := &copied
+		n.tasks = make([]*task, len(t.tasks))
+		for i, k := range t.tasks {
+			copied := *k
+			copied.of, copied.region = n, c.byNumber[k.region.number]
+			n.tasks[i] = &copied
+			if s.byTask[k.number] == k {
+				c.byTask[k.number] = &copied
+			}
+		}
+		c.byJob[job] = n
+		if s.byCaller[t.caller] == t {
+			c.byCaller[t.caller] = n
+		}
+		if s.byID[t.id] == t {
+			c.byID[t.id] = n
+		}
+	}
+	c.recalls = make(map[Task]*recall, len(s.recalls))
+	copies := map[*transaction]*transaction{}
+	for n, r := range s.recalls {
+		copied := *r
+		copied.task = s.copyOf(&c, r.task, copies)
+		c.recalls[n] = &copied
+	}
+	c.used.now, c.used.before = maps.Clone(s.used.now), maps.Clone(s.used.before)
+	c.zones, c.kinds = slices.Clip(s.zones), slices.Clip(s.kinds)
+	c.due = slices.Clone(s.due)
+	return &c
+}
+
+// copyOf finds or makes the copy of a task: its transaction may be over and only the
+// recall still hold it.
+func (s *Scheduler) copyOf(c *Scheduler, k *task, copies map[*transaction]*transaction) *task {
+	t := c.byJob[k.of.job]
+	if t == nil {
+		t = copies[k.of]
+	}
+	if t == nil {
+		copied := *k.of
+		t = &copied
+		t.tasks = make([]*task, len(k.of.tasks))
+		for i, k := range k.of.tasks {
+			copied := *k
+			copied.of, copied.region = t, c.byNumber[k.region.number]
+			t.tasks[i] = &copied
+		}
+		copies[k.of] = t
+	}
+	return t.tasks[slices.Index(k.of.tasks, k)]
+}
+
+// AppendState appends a form of the state between two events that is the same for two
+// states if they act alike from here on. Payloads are left out.
+func (s *Scheduler) AppendState(b []byte) []byte {
+	num := func(vs ...int64) {
+		for _, v := range vs {
+			b = binary.AppendVarint(b, v)
+		}
+	}
+	flag := func(vs ...bool) {
+		for _, v := range vs {
+			bit := byte(0)
+			if v {
+				bit = 1
+			}
+			b = append(b, bit)
+		}
+	}
+	text := func(v string) {
+		num(int64(len(v)))
+		b = append(b, v...)
+	}
+	num(int64(s.now), int64(s.lastJob), int64(s.lastTask), s.rev, int64(s.wake), int64(s.stopAt), int64(s.longest),
+		int64(s.used.since), int64(len(s.byCaller)), int64(len(s.byID)), int64(len(s.byTask)), int64(len(s.byJob)))
+	flag(s.watching, s.stopped, s.module == nil)
+	text(s.discovery)
+	for _, t := range sorted(s.byJob) {
+		num(int64(t.caller), int64(t.job), int64(t.deadline), int64(len(t.tasks)))
+		text(t.id)
+		flag(t.answered, s.byCaller[t.caller] == t, s.byID[t.id] == t)
+		for _, k := range t.tasks {
+			num(int64(k.number), int64(k.attempt), int64(k.region.number), int64(k.deadline))
+			num(int64(k.parked))
+			text(k.addr)
+			flag(k.accepted, k.ended)
+		}
+	}
+	for _, c := range sorted(s.recalls) {
+		num(int64(c.task.number), int64(c.at), int64(c.tries), int64(c.until))
+		text(c.task.of.id)
+		text(c.task.addr)
+		flag(c.trying, s.byJob[c.task.of.job] != nil)
+	}
+	for _, set := range []map[string]bool{s.used.now, s.used.before} {
+		ids := slices.Sorted(maps.Keys(set))
+		num(int64(len(ids)))
+		for _, id := range ids {
+			text(id)
+		}
+	}
+	for _, r := range sorted(s.regions) {
+		num(int64(r.number), int64(r.Cell), int64(r.Status), int64(r.Started))
+		text(r.UID)
+		text(r.Addr)
+		text(r.Zone)
+		text(r.Kind)
+		flag(r.retired)
+	}
+	dues := slices.Clone(s.due)
+	slices.SortFunc(dues, func(a, b due) int {
+		return int(slices.Compare([]int64{int64(a.at), int64(a.token), int64(a.task), int64(a.caller), int64(a.recall)},
+			[]int64{int64(b.at), int64(b.token), int64(b.task), int64(b.caller), int64(b.recall)}))
+	})
+	for _, d := range dues {
+		num(int64(d.at), int64(d.token), int64(d.task), int64(d.caller), int64(d.recall))
+		flag(d.timer, d.parked)
+	}
+	for _, name := range append(slices.Clone(s.zones), s.kinds...) {
+		text(name)
+	}
+	if s.module != nil {
+		b = s.module.AppendState(b)
+	}
+	return b
+}
+
+// Break makes the module break down at the next event that it gets.
+func (s *Scheduler) Break() { s.module = nil }
+
+// Kept counts what is held on behalf of transactions, now or in the past.
+type Kept struct {
+	Callers, IDs, Jobs, Tasks int // of transactions and routed tasks
+	Recalls                   int // withdrawals that are still to be heard
+	Used                      int // ids that may not come again
+	Dues                      int // things to come due other than the module's timers
+	ModuleJobs                int
+}
+
+// Kept tells what is held after all that has come due is dealt with.
+func (s *Scheduler) Kept() Kept {
+	k := Kept{Callers: len(s.byCaller), IDs: len(s.byID), Jobs: len(s.byJob), Tasks: len(s.byTask), Recalls: len(s.recalls),
+		Used: len(s.used.now) + len(s.used.before), ModuleJobs: s.module.Open()}
+	for _, d := range s.due {
+		if !d.timer {
+			k.Dues++
+		}
+	}
+	return k
+}
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -133,9 +133,10 @@
 		Deadline Micros // the region may work on it until then
 		Payload  any
 	}
-	// Abandon breaks the connection of a routed task that no region has accepted.
+	// Abandon breaks the connection that a routed task, or its withdrawal, is on.
 	Abandon struct{ Task Task }
-	// Withdraw tells a region to drop a transaction that it has accepted.
+	// Withdraw tells a region to drop a task that it may hold. Withdrawn must follow. If
+	// it comes with Abandon and nothing of the task ever got out, nobody need be told.
 	Withdraw struct {
 		Task     Task
 		ID       string
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -17,8 +17,17 @@
 	// serveOn is how long a stopping scheduler takes new transactions: the front
 	// goes on dealing it connections for a part of that.
 	serveOn = 600 * millisecond
-	// withdrawFor is how long it is tried to reach a region to withdraw a task.
-	withdrawFor = 2 * second
+	// answerWithin is how long a region may take to answer a withdrawal.
+	answerWithin = second
+	// recallAgain is the first wait before a withdrawal that did not get through is tried
+	// again; it doubles, up to recallMost.
+	recallAgain = 250 * millisecond
+	recallMost  = 2 * second
+	// recallFor is how long it is tried at all. Then the region has what it was told when
+	// it got the task: how long anybody would wait.
+	recallFor = 15 * second
+	// recallOn is how long a stopping scheduler that owes no answer goes on for that.
+	recallOn = 2 * second
 )
 
 // Scheduler is the state. Step is the only way to change it.
@@ -35,6 +44,7 @@
 	longest  Micros                  // that a class waits
 	byJob    map[dahliaford.JobID]*transaction
 	byTask   map[Task]*task
+	recalls  map[Task]*recall // what regions are still to be told to drop
 	lastJob  dahliaford.JobID
 	lastTask Task
 
@@ -71,10 +81,22 @@
 	of       *transaction
 	attempt  int
 	region   *region
+	addr     string // the region's, when the task was made
 	deadline Micros
 	accepted bool
-	started  bool
 	ended    bool
+	parked   Micros // not sent before an earlier one is recalled, nor after this; 0: sent
+}
+
+// recall is the withdrawal of a task that its region may hold. It is tried until the
+// region has heard it, as a job that nobody waits for takes a slot, and one that may be
+// repeated must not run at two regions at once.
+type recall struct {
+	task   *task
+	trying bool   // an answer is awaited
+	at     Micros // when that takes too long, or the next try begins
+	tries  int
+	until  Micros
 }
 
 // recent holds the ids of the last while, for as long as a class waits at most and no
@@ -86,9 +108,20 @@
 
 func (r *recent) has(id string) bool { return r.now[id] || r.before[id] }
 
-func (r *recent) add(id string, now, keep Micros) {
-	if r.now == nil || now-r.since > keep {
-		r.now, r.before, r.since = map[string]bool{}, r.now, now
+// pass forgets ids whose time is over, whether or not others come after them.
+func (r *recent) pass(now, keep Micros) {
+	if now-r.since <= keep {
+		return
+	}
+	if r.now, r.before = nil, r.now; now-r.since > 2*keep {
+		r.before = nil
+	}
+	r.since = now
+}
+
+func (r *recent) add(id string) {
+	if r.now == nil {
+		r.now = map[string]bool{}
 	}
 	r.now[id] = true
 }
@@ -119,7 +152,8 @@
 // New returns a scheduler that has not begun.
 func New(set settings.Settings, seed uint64) (*Scheduler, error) {
 	s := &Scheduler{set: set, seed: seed, byCaller: map[Caller]*transaction{}, byID: map[string]*transaction{},
-		byJob: map[dahliaford.JobID]*transaction{}, byTask: map[Task]*task{}, regions: map[string]*region{},
+		byJob: map[dahliaford.JobID]*transaction{}, byTask: map[Task]*task{},
+		recalls: map[Task]*recall{}, regions: map[string]*region{},
 		byNumber: map[dahliaford.WorkerID]*region{}, zones: slices.Clone(set.Zones), kinds: slices.Clone(set.Kinds)}
 	for _, c := range set.Module.Classes {
 		s.longest = max(s.longest, c.Deadline)
@@ -135,6 +169,7 @@
 // Step takes one event at its time and appends the effects that it calls for.
 func (s *Scheduler) Step(now Micros, e Event, out []Effect) []Effect {
 	s.now, s.out = now, out
+	s.used.pass(now, s.longest)
 	switch e := e.(type) {
 	case Began:
 		s.discovery = e.Discovery
@@ -155,6 +190,10 @@
 	case Ended:
 		// After the region has accepted, only its own word or the time ends a task.
 		if k := s.byTask[e.Task]; k != nil && !k.accepted {
+			if e.Outcome == dahliaford.Reset {
+				// Its 202 may have crossed the connection's end: the region may hold it.
+				s.recall(k)
+			}
 			s.end(k, e.Outcome, e.Report)
 		}
 	case Rejected:
@@ -165,6 +204,8 @@
 		}
 	case Told:
 		s.told(&e)
+	case Withdrawn:
+		s.withdrawn(&e)
 	case TableRead:
 		s.tableRead(e.Table)
 	case TableLost:
@@ -176,6 +217,7 @@
 		if s.stopAt == 0 {
 			s.stopAt = now + serveOn
 			heap.Push(&s.due, due{at: s.stopAt})
+			heap.Push(&s.due, due{at: s.stopAt + recallOn})
 		}
 	}
 	s.expire()
@@ -202,7 +244,8 @@
 	if s.module, err = dahliaford.New(s.set.Module, s.seed); err != nil {
 		return s.out, err
 	}
-	s.due = slices.DeleteFunc(s.due, func(d due) bool { return d.at != s.stopAt })
+	s.due = slices.DeleteFunc(s.due, func(d due) bool { return d.recall == 0 && !d.look() })
+	heap.Init(&s.due)
 	known := Table{Rev: s.rev, All: true}
 	for _, r := range sorted(s.regions) {
 		known.Regions = append(known.Regions, r.Region)
@@ -250,8 +293,11 @@
 		return
 	default:
 		s.lastJob++
-		s.used.add(e.ID, s.now, s.longest)
-		t := &transaction{caller: e.Caller, id: e.ID, job: s.lastJob, deadline: e.Deadline, payload: e.Payload}
+		s.used.add(e.ID)
+		// No class waits longer than its deadline, whatever a client says: the module gives
+		// up by then, and what is kept for a transaction must have an end.
+		t := &transaction{caller: e.Caller, id: e.ID, job: s.lastJob, payload: e.Payload,
+			deadline: min(e.Deadline, s.now+s.set.Module.Classes[class].Deadline)}
 		s.byCaller[e.Caller], s.byID[e.ID], s.byJob[t.job] = t, t, t
 		heap.Push(&s.due, due{at: t.deadline, caller: t.caller})
 		s.tell(dahliaford.Event{Kind: dahliaford.JobArrived, Job: t.job, Class: class, Tenant: tenant,
@@ -297,6 +343,10 @@
 		return // late, or a repeat: its task is over
 	}
 	k := t.tasks[len(t.tasks)-1]
+	if k.parked != 0 {
+		s.toldBefore(t, k, e)
+		return
+	}
 	if k.ended || k.region.UID != e.From {
 		return
 	}
@@ -304,7 +354,6 @@
 		Worker: k.region.number, Note: dahliaford.NoteStarted}
 	switch e.News {
 	case NewsStarted:
-		k.started = true
 		s.tell(note)
 	case NewsRunning:
 		note.Note, note.Value = dahliaford.NoteProgress, e.Share
@@ -315,7 +364,7 @@
 	case NewsFailed:
 		s.end(k, dahliaford.Failed, e.Report)
 	case NewsReturned:
-		s.end(k, dahliaford.Full, e.Report)
+		s.end(k, dahliaford.Returned, e.Report)
 	case NewsLost:
 		s.end(k, dahliaford.Reset, e.Report)
 	}
@@ -336,16 +385,99 @@
 	delete(s.byTask, k.number)
 }
 
-// callBack gives up a routed task: by its connection before the region accepted it,
-// by a word to the region after that. A start that was told before the acceptance
-// came in means that the connection alone may be too late.
+// toldBefore takes what a region tells of an earlier task while the next one waits for
+// that to be recalled. Its end is as good as a recall, and its result as any.
+func (s *Scheduler) toldBefore(t *transaction, parked *task, e *Told) {
+	for _, k := range t.tasks {
+		c := s.recalls[k.number]
+		if c == nil || k.region.UID != e.From || e.News == NewsStarted || e.News == NewsRunning {
+			continue
+		}
+		if e.News == NewsDone {
+			s.answer(t, Answer{Verdict: Served, Body: e.Result})
+		}
+		if c.trying {
+			s.emit(Abandon{Task: k.number}) // nobody times the withdrawal's connection any more
+		}
+		s.recalled(c)
+	}
+}
+
+// callBack gives up a routed task: by its connection before the region accepted it, and
+// by a word to the region in any case. Its 202 may cross the end of the connection, and
+// then that alone gives nothing up.
 func (s *Scheduler) callBack(k *task) {
+	if k.parked != 0 {
+		return // it never left
+	}
 	if !k.accepted {
 		s.emit(Abandon{Task: k.number})
 	}
-	if k.accepted || k.started {
-		s.emit(Withdraw{Task: k.number, ID: k.of.id, Addr: k.region.Addr, Deadline: s.now + withdrawFor})
+	s.recall(k)
+}
+
+func (s *Scheduler) recall(k *task) {
+	c := &recall{task: k, until: s.now + recallFor}
+	s.recalls[k.number] = c
+	s.tryRecall(c)
+}
+
+func (s *Scheduler) tryRecall(c *recall) {
+	c.trying, c.at = true, s.now+answerWithin
+	c.tries++
+	s.emit(Withdraw{Task: c.task.number, ID: c.task.of.id, Addr: c.task.addr, Deadline: c.at})
+	heap.Push(&s.due, due{at: c.at, recall: c.task.number})
+}
+
+// withdrawn takes the end of a try.
+func (s *Scheduler) withdrawn(e *Withdrawn) {
+	c := s.recalls[e.Task]
+	switch {
+	case c == nil || !c.trying:
+	case e.Reached:
+		s.recalled(c)
+	default:
+		s.recallLater(c)
+	}
+}
+
+func (s *Scheduler) recallLater(c *recall) {
+	wait := Micros(min(recallAgain<<min(c.tries-1, 6), recallMost))
+	if s.now+wait >= c.until {
+		s.warn("a job could not be withdrawn: its region may run it for nobody", "txn", c.task.of.id,
+			"region", c.task.region.UID)
+		delete(s.recalls, c.task.number)
+		return
+	}
+	c.trying, c.at = false, s.now+wait
+	heap.Push(&s.due, due{at: c.at, recall: c.task.number})
+}
+
+// recalled ends a recall. A task that waited for it goes out, if it still may.
+func (s *Scheduler) recalled(c *recall) {
+	delete(s.recalls, c.task.number)
+	t := c.task.of
+	k := t.tasks[len(t.tasks)-1]
+	if k.parked == 0 || s.recalling(t) {
+		return
+	}
+	if t.answered || k.region.Status != dahliaford.Ready || s.now >= k.parked {
+		s.end(k, dahliaford.Moot, dahliaford.Report{})
+		return
+	}
+	by := k.parked
+	k.parked = 0
+	s.send(k, by)
+}
+
+// recalling tells whether a region may still hold an earlier task of a transaction.
+func (s *Scheduler) recalling(t *transaction) bool {
+	for _, k := range t.tasks {
+		if s.recalls[k.number] != nil {
+			return true
+		}
 	}
+	return false
 }
 
 func (s *Scheduler) route(a *dahliaford.Action) {
@@ -358,7 +490,7 @@
 		return
 	}
 	s.lastTask++
-	k := &task{number: s.lastTask, of: t, attempt: a.Attempt, region: r, deadline: t.deadline}
+	k := &task{number: s.lastTask, of: t, attempt: a.Attempt, region: r, addr: r.Addr, deadline: t.deadline}
 	if a.At > 0 {
 		k.deadline = min(k.deadline, a.At)
 	}
@@ -371,8 +503,20 @@
 	if s.set.DrainGrace > 0 {
 		by = min(by, s.now+s.set.DrainGrace)
 	}
-	s.emit(Route{Task: k.number, ID: t.id, UID: r.UID, Addr: r.Addr, WriteBy: min(by, k.deadline),
-		Deadline: k.deadline, Payload: t.payload})
+	by = min(by, k.deadline)
+	if s.recalling(t) {
+		// A region may hold an earlier task. Until it has heard that this is given up,
+		// another one would be a second copy.
+		k.parked = by
+		heap.Push(&s.due, due{at: by, task: k.number, parked: true})
+		return
+	}
+	s.send(k, by)
+}
+
+func (s *Scheduler) send(k *task, by Micros) {
+	s.emit(Route{Task: k.number, ID: k.of.id, UID: k.region.UID, Addr: k.addr, WriteBy: by, Deadline: k.deadline,
+		Payload: k.of.payload})
 }
 
 // ---- The service table
@@ -502,9 +646,14 @@
 	timer  bool
 	token  uint64
 	task   Task
+	parked bool // the task may not wait any longer to be sent
+	recall Task // a withdrawal takes too long, or is tried again
 	caller Caller
 }
 
+// look tells whether it is just a look: at the time to stop, or to end.
+func (d due) look() bool { return !d.timer && d.task == 0 && d.recall == 0 && d.caller == 0 }
+
 type dues []due
 
 func (d dues) Len() int           { return len(d) }
@@ -525,6 +674,12 @@
 		switch {
 		case d.timer:
 			s.tell(dahliaford.Event{Kind: dahliaford.TimerRang, Token: d.token})
+		case d.recall != 0:
+			s.recallDue(d)
+		case d.parked:
+			if k := s.byTask[d.task]; k != nil && k.parked == d.at {
+				s.end(k, dahliaford.Moot, dahliaford.Report{})
+			}
 		case d.task != 0:
 			if k := s.byTask[d.task]; k != nil {
 				s.callBack(k)
@@ -542,6 +697,18 @@
 	}
 }
 
+func (s *Scheduler) recallDue(d due) {
+	c := s.recalls[d.recall]
+	switch {
+	case c == nil || c.at != d.at:
+	case c.trying:
+		s.emit(Abandon{Task: d.recall}) // of the withdrawal's own connection
+		s.recallLater(c)
+	default:
+		s.tryRecall(c)
+	}
+}
+
 func (s *Scheduler) stopping() bool { return s.stopAt != 0 && s.now >= s.stopAt }
 
 func (s *Scheduler) stop() {
@@ -553,7 +720,7 @@
 		s.emit(Close{})
 		s.log("no new transactions from now on", "open", len(s.byCaller))
 	}
-	if len(s.byCaller) == 0 {
+	if len(s.byCaller) == 0 && (len(s.recalls) == 0 || s.now >= s.stopAt+recallOn) {
 		s.emit(Exit{})
 	}
 }
@@ -562,7 +729,8 @@
 func (s *Scheduler) arm() {
 	for len(s.due) > 0 {
 		d := s.due[0]
-		if d.task != 0 && s.byTask[d.task] == nil || d.caller != 0 && s.byCaller[d.caller] == nil {
+		if c := s.recalls[d.recall]; d.recall != 0 && (c == nil || c.at != d.at) ||
+			d.task != 0 && s.byTask[d.task] == nil || d.caller != 0 && s.byCaller[d.caller] == nil {
 			heap.Pop(&s.due)
 			continue
 		}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -191,6 +191,8 @@
 		p.step(Ended{Task: p.tasks[id], Outcome: outcome})
 	} else if word == "rejected" {
 		p.step(Rejected{Task: p.tasks[id]})
+	} else if word == "dropped" || word == "unheard" {
+		p.step(Withdrawn{Task: p.tasks[id], Reached: word == "dropped"})
 	} else if word == "accepted" {
 		p.step(Accepted{Task: p.tasks[id]})
 	} else {
@@ -261,10 +263,55 @@
 			c1 send a1 post sahel 0s
 			c1 expect refused
 			r1 expect nothing`,
-		"a caller that leaves before the acceptance": submit + `
+		"a caller that leaves before the acceptance, which may cross the close": submit + `
 			c1 close
 			r1 expect abandoned
+			r1 expect withdrawn a1
+			r1 send dropped a1
+			wait 5s
 			r1 expect nothing`,
+		"a withdrawal that does not get through is tried again, and not for ever": submit + begun + `
+			c1 close
+			r1 expect withdrawn a1
+			r1 send unheard a1
+			r1 expect nothing
+			wait 250ms
+			r1 expect withdrawn a1
+			wait 1s
+			r1 expect abandoned
+			wait 500ms
+			r1 expect withdrawn a1
+			r1 send dropped a1
+			wait 30s
+			r1 expect nothing`,
+		"a repeat waits until the region that may hold the first is told": batch + `
+			r1 close a1
+			r1 expect withdrawn a1
+			r2 expect nothing
+			r1 send dropped a1
+			r2 expect a1 payload written in 250ms done in 19.996s`,
+		"or until that region says how it ended": batch + `
+			r1 close a1
+			r1 expect withdrawn a1
+			r1 send done a1
+			c1 expect served result
+			r1 expect abandoned
+			r2 expect nothing`,
+		"it does not wait past its time to be sent": batch + `
+			r1 close a1
+			r1 expect withdrawn a1
+			wait 260ms
+			r1 send dropped a1
+			r2 expect a1 payload written in 240ms done in 19.736s`,
+		"a program that ends calls back first, and waits 2s for that at most": submit + begun + `
+			program send stop
+			c1 close
+			r1 expect withdrawn a1
+			wait 600ms
+			program expect scheduler.Close
+			program expect nothing
+			wait 3s
+			program expect scheduler.Exit`,
 		"a caller that leaves after it": submit + begun + `
 			c1 close
 			r1 expect withdrawn a1
@@ -361,6 +408,7 @@
 			c1 expect served result last
 			program expect nothing
 			c2 close
+			r1 send dropped a2
 			program expect scheduler.Exit`,
 		"a panic loses nobody silently, and the next is served": submit + begun + `
 			program send panic
--- a/state.go
+++ b/state.go
@@ -98,6 +98,7 @@
 	done    float64
 	live    bool
 	ran     bool    // it may have run
+	back    bool    // its worker handed it back, and may say so again: of a next one there, it would seem
 	taken   float64 // slots of its worker taken, with its own, as known when it left
 	overdue bool    // its start notice did not come in time
 }
@@ -367,3 +368,8 @@
 	}
 	return false
 }
+
+// mayHaveRun tells what an outcome leaves open.
+func mayHaveRun(o Outcome) bool {
+	return o != Full && o != ConnectFailed && o != Moot && o != Returned
+}
