Walk a large world thousands of steps deep, and plant faults for the explorer to find

Need: whether the explorer finds what it is for had not been shown, and worlds that can be seen to their end are too small for what only a long life brings about.

Copies of a state now copy all that the books hold: a leak used to vanish in the copy.

--- /dev/null
+++ b/cmd/dahlialab/drill.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+)
+
+// drillCmd runs an experiment: bounded in time, the same with the same seed.
+type drillCmd struct {
+	Name string        `arg:"" optional:"" help:"The drill; left out: list them."`
+	For  time.Duration `help:"Longest time to go on." default:"60s"`
+	Seed uint64        `help:"Seed of all that is left to chance." default:"1"`
+	JSON bool          `name:"json" help:"Only the line of JSON."`
+}
+
+// report is what a drill found. Its table goes to standard output before the line.
+type report struct {
+	ok      bool
+	figures map[string]any
+	table   [][]string
+}
+
+// drill is one experiment. Progress goes to say.
+type drill struct {
+	about string
+	run   func(ctx context.Context, seed uint64, say func(format string, args ...any)) (*report, error)
+}
+
+var drills = map[string]drill{
+	"planted": {"plants faults in reducer, connections and module, one build each, and lets the explorer find them",
+		planting},
+}
+
+func (c *drillCmd) Run() error {
+	if c.Name == "" {
+		for _, name := range slices.Sorted(maps.Keys(drills)) {
+			fmt.Printf("%s\t%s\n", name, drills[name].about)
+		}
+		return nil
+	}
+	d, known := drills[c.Name]
+	switch {
+	case !known:
+		return misuse("unknown drill %q: there are %s", c.Name, strings.Join(slices.Sorted(maps.Keys(drills)), ", "))
+	case c.For <= 0:
+		return misuse("--for must be longer than nothing")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), c.For)
+	defer cancel()
+	r, err := d.run(ctx, c.Seed, func(format string, args ...any) { fmt.Fprintf(os.Stderr, format+"\n", args...) })
+	if err != nil {
+		return err
+	}
+	if !c.JSON {
+		printTable(os.Stdout, r.table)
+	}
+	line := map[string]any{"drill": c.Name, "ok": r.ok, "seed": c.Seed}
+	maps.Copy(line, r.figures)
+	raw, err := json.Marshal(line)
+	if err != nil {
+		return err
+	}
+	fmt.Println(string(raw))
+	if !r.ok {
+		return exit{status: broken}
+	}
+	return nil
+}
+
+func printTable(out io.Writer, lines [][]string) {
+	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
+	for _, line := range lines {
+		fmt.Fprintln(table, strings.Join(line, "\t"))
+	}
+	table.Flush()
+}
--- a/cmd/dahlialab/explore.go
+++ b/cmd/dahlialab/explore.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"path/filepath"
+	"runtime/debug"
 	"text/tabwriter"
 	"time"
 
@@ -28,6 +29,9 @@
 	Coverage bool          `help:"Print the table of events by stages of an attempt."`
 }
 
+// searchMemory is where the collector begins to work harder, in bytes.
+const searchMemory = 12 << 30
+
 // summary is the last line on standard output.
 type summary struct {
 	World       string   `json:"world"`
@@ -54,6 +58,9 @@
 	case c.Workers < 0:
 		return misuse("--workers must not be negative")
 	}
+	// States are many and short-lived: the collector may let them pile up.
+	debug.SetGCPercent(600)
+	debug.SetMemoryLimit(searchMemory)
 	ctx, cancel := context.WithCancel(context.Background())
 	if c.Budget > 0 {
 		ctx, cancel = context.WithTimeout(ctx, c.Budget)
--- a/internal/explore/actions.go
+++ b/internal/explore/actions.go
@@ -16,6 +16,7 @@
 const (
 	Submit Kind = iota
 	SubmitAgain
+	RenewRequest
 	ClientLeaves
 	RefuseRoute
 	Write
@@ -67,9 +68,10 @@
 	breakLost   uint8 = iota // the request never came
 	breakRan                 // it came and ran, and ended with the connection
 	breakAnswer              // the region's answer is lost
+	breakIdle                // the region had accepted
 )
 
-var kindNames = [kinds]string{"submit", "submit-again", "client-leaves", "refuse-route", "write", "hear-written",
+var kindNames = [kinds]string{"submit", "submit-again", "renew", "client-leaves", "refuse-route", "write", "hear-written",
 	"arrive", "break-route", "hear-broken", "hear-answer", "close-arrives", "begin", "finish", "fail-job",
 	"hand-back-job", "kill-job", "tell", "tell-and-keep", "lose-call", "withdraw-arrives", "withdraw-answered",
 	"withdraw-breaks", "process-dies", "process-starts", "machine-silent", "machine-back", "say-draining",
@@ -135,6 +137,13 @@
 			add(SubmitAgain, i, 0)
 		}
 	}
+	if w.cfg.Renew && !w.quiet {
+		for i := range w.requests {
+			if w.forgotten(uint8(i)) {
+				add(RenewRequest, i, 0)
+			}
+		}
+	}
 	for i := range w.routes {
 		out = w.routeSteps(i, out)
 	}
@@ -234,6 +243,40 @@
 	return out
 }
 
+// forgotten tells whether a request is over and nothing of it is left anywhere.
+func (w *World) forgotten(id uint8) bool {
+	q := &w.requests[id]
+	if q.id != id || q.state == unsent || q.state == open || q.stage == stageConnecting || w.s.Kept().Recalls > 0 {
+		return false
+	}
+	for i := range w.requests {
+		if i != int(id) && w.requests[i].id == id {
+			return false
+		}
+	}
+	for i := range w.routes {
+		if w.routes[i].id == id {
+			return false
+		}
+	}
+	for i := range w.calls {
+		if w.calls[i].id == id {
+			return false
+		}
+	}
+	for i := range w.withdraws {
+		if w.withdraws[i].id == id {
+			return false
+		}
+	}
+	for i := range w.jobs {
+		if w.jobs[i].id == id {
+			return false
+		}
+	}
+	return true
+}
+
 // onItsWay tells whether a request that a withdrawal is about is still on its way there.
 func (w *World) onItsWay(wd *withdraw) bool {
 	for i := range w.routes {
@@ -291,6 +334,10 @@
 		if w.can(Break) {
 			add(BreakRoute, breakAnswer)
 		}
+	case idle:
+		if w.can(Break) {
+			add(BreakRoute, breakIdle)
+		}
 	case broken:
 		if !r.unheard || w.cfg.Overtake {
 			add(HearBroken, 0)
@@ -345,7 +392,9 @@
 // apply takes one step. A step that is not enabled must not be passed.
 func (w *World) apply(a Action) {
 	i := int(a.A)
-	w.note("-- %s", w.words(a))
+	if w.notes != nil {
+		w.note("-- %s", w.words(a))
+	}
 	switch a.Kind {
 	case Submit:
 		q := &w.requests[i]
@@ -354,6 +403,9 @@
 		w.spend(SameID)
 		w.requests = append(w.requests, request{class: w.requests[i].class, id: uint8(i)})
 		w.submit(&w.requests[len(w.requests)-1])
+	case RenewRequest:
+		q := &w.requests[i]
+		*q = request{class: q.class, id: q.id, gen: q.gen + 1}
 	case ClientLeaves:
 		w.spend(Leave)
 		q := &w.requests[i]
@@ -392,13 +444,24 @@
 	default:
 		w.applyRoute(a, i)
 	}
+	w.letIdleGo()
 	w.inTime()
 }
 
+// letIdleGo drops connections whose task is over: nothing that happens to them counts.
+func (w *World) letIdleGo() {
+	for i := len(w.routes) - 1; i >= 0; i-- {
+		r := &w.routes[i]
+		if q := &w.requests[r.id]; r.phase == idle && (q.last != r.task || q.stage >= stageGivenUp || !w.can(Break)) {
+			w.dropRoute(i)
+		}
+	}
+}
+
 func (w *World) submit(q *request) {
 	w.caller++
 	q.state, q.caller, q.deadline = open, w.caller, w.now+q.class.deadline()
-	w.step(scheduler.Submitted{Caller: q.caller, ID: txn(q.id), Class: q.class.String(), Tenant: "sahel",
+	w.step(scheduler.Submitted{Caller: q.caller, ID: w.txn(q.id), Class: q.class.String(), Tenant: "sahel",
 		Deadline: q.deadline, Slots: 1})
 }
 
@@ -425,6 +488,11 @@
 		w.arrive(i, a.B)
 	case BreakRoute:
 		w.spend(Break)
+		if a.B == breakIdle {
+			_, e := r.link.Broke()
+			w.endRoute(i, e)
+			return
+		}
 		if a.B == breakRan {
 			w.arrives(r)
 			w.runs(r.id, r.region, r.sent)
@@ -439,6 +507,11 @@
 		w.endRoute(i, e)
 	case HearAnswer:
 		_, e := r.link.Answered(link.Answer{Status: r.status, TurnedAway: r.status == 503})
+		if r.status == 202 && e != nil {
+			r.phase, r.unheard = idle, false
+			w.step(e)
+			return
+		}
 		w.endRoute(i, e)
 	case CloseArrives:
 		id, region, sent, task := r.id, r.region, r.sent, r.task
@@ -534,9 +607,9 @@
 	case Tell:
 		w.dropCall(i)
 	}
-	told := scheduler.Told{ID: txn(c.id), From: uid(int(c.region)), News: c.news}
+	told := scheduler.Told{ID: w.txn(c.id), From: uid(int(c.region)), News: c.news}
 	if c.news == scheduler.NewsDone {
-		told.Result = []byte(txn(c.id) + " by " + uid(int(c.region)))
+		told.Result = []byte(w.txn(c.id) + " by " + uid(int(c.region)))
 	}
 	w.step(told)
 }
@@ -649,9 +722,11 @@
 	switch a.Kind {
 	case Submit, SubmitAgain:
 		q := &w.requests[i]
-		return fmt.Sprintf("client submits %s, a %v, and waits %v", txn(q.id), q.class, span(q.class.deadline()))
+		return fmt.Sprintf("client submits %s, a %v, and waits %v", w.txn(q.id), q.class, span(q.class.deadline()))
+	case RenewRequest:
+		return fmt.Sprintf("%s is over; another request takes its place", w.txn(uint8(i)))
 	case ClientLeaves:
-		return fmt.Sprintf("client of %s leaves", txn(w.requests[i].id))
+		return fmt.Sprintf("client of %s leaves", w.txn(w.requests[i].id))
 	case RefuseRoute, Write, HearWritten, Arrive, BreakRoute, HearBroken, HearAnswer, CloseArrives:
 		r := &w.routes[i]
 		what := map[Kind]string{RefuseRoute: "its connection does not come up", Write: "is written out",
@@ -663,29 +738,29 @@
 				"arrives and gets a 500", "arrives and gets a 400"}[a.B]
 		case BreakRoute:
 			what = [...]string{"connection breaks, nothing arrived", "arrives and runs until its connection breaks",
-				"connection breaks, the region's answer is lost"}[a.B]
+				"connection breaks, the region's answer is lost", "connection ends after the 202"}[a.B]
 		case CloseArrives:
 			what = [...]string{"our close arrives before its 202", "our close crosses its 202: the region holds it"}[a.B]
 		}
-		return fmt.Sprintf("task %d (%s at %s): %s", r.task, txn(r.id), uid(int(r.region)), what)
+		return fmt.Sprintf("task %d (%s at %s): %s", r.task, w.txn(r.id), uid(int(r.region)), what)
 	case Begin, Finish, FailJob, HandBackJob, KillJob:
 		j := &w.jobs[i]
 		what := map[Kind]string{Begin: "begins to run", Finish: "is done", FailJob: "fails",
 			HandBackJob: "hands back unstarted", KillJob: "loses"}[a.Kind]
 		if a.Kind == HandBackJob || a.Kind == KillJob {
-			return fmt.Sprintf("%s %s %s", uid(int(j.region)), what, txn(j.id))
+			return fmt.Sprintf("%s %s %s", uid(int(j.region)), what, w.txn(j.id))
 		}
-		return fmt.Sprintf("%s at %s %s", txn(j.id), uid(int(j.region)), what)
+		return fmt.Sprintf("%s at %s %s", w.txn(j.id), uid(int(j.region)), what)
 	case Tell, TellAndKeep, LoseCall:
 		c := &w.calls[i]
 		news := map[scheduler.News]string{scheduler.NewsStarted: "started", scheduler.NewsDone: "done",
 			scheduler.NewsFailed: "failed", scheduler.NewsReturned: "returned", scheduler.NewsLost: "lost"}[c.news]
 		end := map[Kind]string{Tell: "", TellAndKeep: " (and will again)", LoseCall: ", which never gets through"}[a.Kind]
-		return fmt.Sprintf("%s calls back: %s %s%s", uid(int(c.region)), txn(c.id), news, end)
+		return fmt.Sprintf("%s calls back: %s %s%s", uid(int(c.region)), w.txn(c.id), news, end)
 	case WithdrawArrives, WithdrawAnswered, WithdrawBreaks:
 		wd := &w.withdraws[i]
 		what := map[Kind]string{WithdrawArrives: "comes", WithdrawAnswered: "is answered", WithdrawBreaks: "breaks off"}
-		return fmt.Sprintf("DELETE of %s to %s %s", txn(wd.id), uid(int(wd.region)), what[a.Kind])
+		return fmt.Sprintf("DELETE of %s to %s %s", w.txn(wd.id), uid(int(wd.region)), what[a.Kind])
 	case ProcessDies, ProcessStarts, MachineSilent, MachineBack, SayDraining, SayGone, SayReady:
 		what := map[Kind]string{ProcessDies: "its process dies", ProcessStarts: "its process starts again",
 			MachineSilent: "its machine falls silent", MachineBack: "its machine is back",
--- a/internal/explore/config.go
+++ b/internal/explore/config.go
@@ -71,6 +71,9 @@
 	// DeleteOvertakes lets a DELETE overtake the request that it is about. No scheduler
 	// can do anything about that: see docs/design.md.
 	DeleteOvertakes bool
+	// Renew lets a request that is over, and of which nothing is left, begin anew with
+	// another id: a walk has no end then.
+	Renew bool
 	// Small worlds are explored in CI.
 	Small bool
 
@@ -157,6 +160,16 @@
 			[]Class{Post, Batch}, []int{0, 0}, all),
 	}
 	list[2].Overtake = true
+	// What a planted fault needs to show itself, and little else.
+	list = append(list,
+		world("late", "one district-batch, its connection ends at any time", 2,
+			[]Class{Batch}, []int{0, 0}, budget{Break: 2}),
+		world("drains", "one district-batch, one region comes and goes", 3,
+			[]Class{Batch}, []int{0, 0}, budget{Drain: 3, TurnAway: 1}),
+		world("turned", "one district-batch, turned away again and again", 5,
+			[]Class{Batch}, []int{0, 0}, budget{TurnAway: 5, Refuse: 2}),
+		world("cold", "two requests, a region starts again", 2,
+			[]Class{Post, Batch}, []int{0}, budget{Die: 1, TurnAway: 1}))
 	hole := world("hole", "one post-reading, one region, and a DELETE may overtake its request: known to break",
 		1, []Class{Post}, []int{0}, budget{Leave: 1})
 	hole.DeleteOvertakes = true
@@ -183,7 +196,7 @@
 // ByName finds a world. The error names those that there are.
 func ByName(name string) (*Config, error) {
 	var names []string
-	for _, c := range worlds {
+	for _, c := range append(Worlds(), Large()) {
 		if c.Name == name {
 			copied := *c
 			return &copied, nil
--- /dev/null
+++ b/internal/explore/explore_bench_test.go
@@ -0,0 +1,30 @@
+package explore
+
+import (
+	"context"
+	"testing"
+	"time"
+)
+
+// The search's pace: copied states on all cores, against states made anew from the root
+// on one, as the first version did.
+func BenchmarkSearch(b *testing.B) {
+	for name, opt := range map[string]Options{"copy": {}, "copy-one": {Workers: 1}, "replay-one": {Workers: 1, Replay: true}} {
+		b.Run(name, func(b *testing.B) {
+			cfg, err := ByName("attempt")
+			if err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				ctx, cancel := context.WithTimeout(b.Context(), 3*time.Second)
+				began := time.Now()
+				r, err := Search(ctx, cfg, opt)
+				cancel()
+				if err != nil || r.Broken != nil {
+					b.Fatal(err, r.Broken)
+				}
+				b.ReportMetric(float64(r.States)/time.Since(began).Seconds(), "states/s")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/explore/explore_test.go
@@ -0,0 +1,283 @@
+package explore
+
+import (
+	"context"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"reflect"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"dahliaford/internal/explore/planted"
+)
+
+// bounded is a world with fewer faults, so that CI can see it to its end.
+func bounded(t *testing.T, name string, most uint8) *Config {
+	t.Helper()
+	cfg, err := ByName(name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Most = most
+	return cfg
+}
+
+// The part of the worlds that CI explores, to the end: with so many faults at most.
+func TestWorlds(t *testing.T) {
+	all := &Coverage{}
+	for name, most := range map[string]uint8{"attempt": 2, "keyed": 1, "link": 1, "table": 1, "crash": 1, "late": 1,
+		"drains": 1, "turned": 5} {
+		if raceOn && name != "late" {
+			continue
+		}
+		t.Run(name, func(t *testing.T) {
+			cfg := bounded(t, name, most)
+			r, err := Search(t.Context(), cfg, Options{})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if r.Broken != nil {
+				t.Fatalf("%v\n%s", r.Broken, account(cfg, r))
+			}
+			if !r.Exhausted {
+				t.Errorf("not explored to the end: %+v", r)
+			}
+			t.Logf("%d states, %d transitions, %d deep", r.States, r.Transitions, r.Depth)
+			all.add(r.Coverage)
+		})
+	}
+	if missed := all.Missed(); !raceOn && len(missed) > 0 {
+		t.Logf("not met with so few faults: %s", strings.Join(missed, "; "))
+	}
+}
+
+func account(cfg *Config, r *Result) string {
+	var lines []string
+	for _, s := range NewTrace(cfg, r.Path, r.Broken).Steps {
+		lines = append(lines, s.Do+"\t"+s.Words)
+		for _, then := range s.Then {
+			lines = append(lines, "\t\t-> "+then)
+		}
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Copied states and states made anew from the root are the same: as many, met as often.
+func TestEnginesAgree(t *testing.T) {
+	if raceOn {
+		t.Skip("one goroutine against another is what the worlds test")
+	}
+	for _, name := range []string{"turned"} {
+		cfg := bounded(t, name, 1)
+		var got [][]any
+		for _, opt := range []Options{{}, {Workers: 1}, {Workers: 2, Replay: true}} {
+			r, err := Search(t.Context(), cfg, opt)
+			if err != nil {
+				t.Fatal(err)
+			}
+			got = append(got, []any{r.States, r.Transitions, r.Exhausted, r.Broken == nil, *r.Coverage})
+		}
+		for _, g := range got[1:] {
+			if diff := cmp.Diff(got[0], g); diff != "" {
+				t.Errorf("%s: %s", name, diff)
+			}
+		}
+	}
+}
+
+// A copy acts as its original, and neither sees what the other does.
+func TestCopiesActAlike(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := Large()
+		w, err := newWorld(cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		pick := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "step") }
+		take := func(w *World, a Action) []string {
+			var notes []string
+			w.notes = &notes
+			w.apply(a)
+			return notes
+		}
+		for range rapid.IntRange(1, 120).Draw(t, "steps") {
+			steps := w.enabled(nil)
+			if len(steps) == 0 {
+				break
+			}
+			a := steps[pick(len(steps))]
+			c := w.clone()
+			before := w.appendState(nil)
+			if string(before) != string(c.appendState(nil)) {
+				t.Fatal("a copy has another form than its original")
+			}
+			did := take(c, a)
+			if string(before) != string(w.appendState(nil)) {
+				t.Fatalf("a step of the copy (%v) changed the original", a)
+			}
+			if diff := cmp.Diff(did, take(w, a)); diff != "" {
+				t.Fatalf("%v: copy and original differ: %s", a, diff)
+			}
+			if string(w.appendState(nil)) != string(c.appendState(nil)) {
+				t.Fatalf("%v: copy and original end in other states", a)
+			}
+		}
+	})
+}
+
+// A deep walk of a large world keeps the properties. What fails shrinks.
+func TestWalk(t *testing.T) {
+	steps, deepest := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := Large()
+		w, err := newWorld(cfg)
+		if err != nil {
+			t.Fatal(err)
+		}
+		// A seed for every few steps: dropping some of them shrinks a walk.
+		seeds := rapid.SliceOfN(rapid.Uint64(), 1, 60).Draw(t, "seeds")
+		var path []Action
+		drawn, random := 0, rand.New(rand.NewPCG(seeds[0], 0))
+		broke := walk(w, func(n int) int {
+			if drawn++; drawn%30 == 0 {
+				random = rand.New(rand.NewPCG(seeds[drawn/30%len(seeds)], uint64(drawn)))
+			}
+			return random.IntN(n)
+		}, &path)
+		steps += len(path)
+		deepest = max(deepest, len(path))
+		if broke != nil {
+			path, broke = shorten(cfg, path, broke)
+			t.Fatalf("%v\n%s", broke, account(cfg, &Result{Path: path, Broken: broke}))
+		}
+	})
+	t.Logf("%d steps, at most %d in a walk", steps, deepest)
+}
+
+// What was found stays found: no trace breaks its property any more, but for the hole that
+// no scheduler can close.
+func TestTraces(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.json")
+	if err != nil || len(files) < 5 {
+		t.Fatal(files, err)
+	}
+	for _, file := range files {
+		raw, err := os.ReadFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		trace, err := ReadTrace(raw)
+		if err != nil {
+			t.Fatal(file, err)
+		}
+		lines := 0
+		v, err := trace.Replay(func(string) { lines++ })
+		if err != nil {
+			t.Fatal(file, err)
+		}
+		open := trace.World == "hole"
+		if broke := v.Broken != nil; broke != open || lines == 0 {
+			t.Errorf("%s: broken %v after %d lines, diverged at %d", file, v.Broken, lines, v.Diverged)
+		}
+	}
+}
+
+// The explorer finds the hole, and its trace can be read, replayed and written again.
+func TestFoundTraceReplays(t *testing.T) {
+	cfg := bounded(t, "hole", 1)
+	r, err := Search(t.Context(), cfg, Options{})
+	if err != nil || r.Broken == nil || r.Broken.Property != CalledBack {
+		t.Fatal(r, err)
+	}
+	trace := NewTrace(cfg, r.Path, r.Broken)
+	v, err := trace.Replay(func(string) {})
+	if err != nil || v.Broken == nil {
+		t.Fatal(v, err)
+	}
+}
+
+func TestBadTraces(t *testing.T) {
+	for text, want := range map[string]string{
+		``:                         "not a trace: EOF",
+		`[]`:                       "not a trace",
+		`{"format":1} {}`:          "something follows",
+		`{"format":9}`:             "format 9",
+		`{"formt":1}`:              "unknown field",
+		`{"format":1,"world":"x"}`: `unknown world "x"`,
+		`{"format":1,"world":"link","property":"x"}`:                                             `unknown property "x"`,
+		`{"format":1,"world":"link","property":"ends","steps":[{"do":"fly 0 0","words":""}]}`:    `step 1: "fly 0 0" is no step`,
+		`{"format":1,"world":"link","property":"ends","steps":[{"do":"tick 0 900","words":""}]}`: "is no step",
+		`{"format":1,"world":"link","property":"ends","steps":[{"do":"tick","words":""}]}`:       "is no step",
+	} {
+		_, err := ReadTrace([]byte(text))
+		if err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v, want one line with %q", text, err, want)
+		}
+	}
+}
+
+// A trace may come from anywhere: none breaks the replay down.
+func FuzzReadTrace(f *testing.F) {
+	files, _ := filepath.Glob("testdata/*.json")
+	for _, file := range files {
+		raw, err := os.ReadFile(file)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(raw)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		if trace, err := ReadTrace(raw); err == nil && len(trace.Steps) < 200 {
+			if _, err := trace.Replay(func(string) {}); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+}
+
+// Each planted fault still finds the text that it changes; the drill finds the faults.
+func TestPlantedTexts(t *testing.T) {
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	names := map[string]bool{}
+	for _, f := range planted.Faults() {
+		if _, err := f.Overlay(root, t.TempDir()); err != nil {
+			t.Error(err)
+		}
+		if _, err := ByName(f.World); err != nil {
+			t.Error(err)
+		}
+		for _, want := range strings.Fields(f.Want) {
+			known := false
+			for _, p := range Properties() {
+				known = known || p.String() == want
+			}
+			if !known {
+				t.Errorf("%s: unknown property %q", f.Name, want)
+			}
+		}
+		if names[f.Name] {
+			t.Errorf("two faults are named %s", f.Name)
+		}
+		names[f.Name] = true
+	}
+}
+
+func TestSearchStopsWithItsContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	cfg := bounded(t, "attempt", 3)
+	r, err := Search(ctx, cfg, Options{})
+	if err != nil || r.Exhausted || r.Broken != nil {
+		t.Errorf("%+v, %v", r, err)
+	}
+	if diff := cmp.Diff(true, reflect.DeepEqual(cfg.Faults, bounded(t, "attempt", 3).Faults)); diff != "" {
+		t.Error("a search changed its configuration")
+	}
+}
--- a/internal/explore/properties.go
+++ b/internal/explore/properties.go
@@ -66,7 +66,7 @@
 		return
 	}
 	verdict := [...]string{"serves", "refuses", "fails", "calls invalid", "calls a conflict"}[a.Verdict]
-	w.note("scheduler %s %s %s", verdict, txn(q.id), a.Body)
+	w.note("scheduler %s %s %s", verdict, w.txn(q.id), a.Body)
 	w.oneAnswer(q)
 	w.honest(q, a)
 	q.state, q.verdict = answered, a.Verdict
@@ -76,11 +76,11 @@
 func (w *World) oneAnswer(q *request) {
 	switch {
 	case q.state == answered:
-		w.fail(Answered, "%s is answered twice", txn(q.id))
+		w.fail(Answered, "%s is answered twice", w.txn(q.id))
 	case q.state == gone:
-		w.fail(Answered, "%s is answered though its client left", txn(q.id))
+		w.fail(Answered, "%s is answered though its client left", w.txn(q.id))
 	case w.now > q.deadline:
-		w.fail(Answered, "%s is answered %v after its client gave up", txn(q.id), span(w.now-q.deadline))
+		w.fail(Answered, "%s is answered %v after its client gave up", w.txn(q.id), span(w.now-q.deadline))
 	}
 }
 
@@ -89,22 +89,22 @@
 	first := &w.requests[q.id]
 	switch a.Verdict {
 	case scheduler.Served:
-		region, ok := strings.CutPrefix(string(a.Body), txn(q.id)+" by ")
+		region, ok := strings.CutPrefix(string(a.Body), w.txn(q.id)+" by ")
 		if !ok || first.made&(1<<regionOf(region)) == 0 {
-			w.fail(HonestAnswers, "%s is served %q, which no region made for it", txn(q.id), a.Body)
+			w.fail(HonestAnswers, "%s is served %q, which no region made for it", w.txn(q.id), a.Body)
 		}
 	case scheduler.Refused:
 		if first.ran != 0 {
-			w.fail(HonestAnswers, "%s is refused though it may have run", txn(q.id))
+			w.fail(HonestAnswers, "%s is refused though it may have run", w.txn(q.id))
 		}
 		for _, j := range w.jobs {
 			if j.id == q.id {
-				w.fail(HonestAnswers, "%s is refused while %s holds it", txn(q.id), uid(int(j.region)))
+				w.fail(HonestAnswers, "%s is refused while %s holds it", w.txn(q.id), uid(int(j.region)))
 			}
 		}
 		for _, r := range w.routes {
 			if r.id == q.id && r.phase == written {
-				w.fail(HonestAnswers, "%s is refused while it is on its way to %s", txn(q.id), uid(int(r.region)))
+				w.fail(HonestAnswers, "%s is refused while it is on its way to %s", w.txn(q.id), uid(int(r.region)))
 			}
 		}
 	}
@@ -114,23 +114,23 @@
 func (w *World) arrives(r *route) {
 	q := &w.requests[r.id]
 	if q.attempts++; q.attempts > mostAttempts {
-		w.fail(FourAttempts, "attempt %d of %s comes to %s", q.attempts, txn(r.id), uid(int(r.region)))
+		w.fail(FourAttempts, "attempt %d of %s comes to %s", q.attempts, w.txn(r.id), uid(int(r.region)))
 	}
 	for _, j := range w.jobs {
 		if j.id == r.id {
 			w.fail(OneAttempt, "an attempt of %s comes to %s while %s holds one that nobody has called back there",
-				txn(r.id), uid(int(r.region)), uid(int(j.region)))
+				w.txn(r.id), uid(int(r.region)), uid(int(j.region)))
 		}
 	}
 	if q.class == Batch && q.ran != 0 {
 		for i := range w.regions {
 			if q.ran&(1<<i) != 0 && w.cfg.Racks[i] != w.cfg.Racks[r.region] {
-				w.fail(RunsAsAllowed, "%s may have run at %s and comes to %s, in another rack", txn(r.id), uid(i),
+				w.fail(RunsAsAllowed, "%s may have run at %s and comes to %s, in another rack", w.txn(r.id), uid(i),
 					uid(int(r.region)))
 			}
 		}
 		if r.sent-q.firstRan > window {
-			w.fail(RunsAsAllowed, "%s may have run and is sent again %v later, past its window", txn(r.id),
+			w.fail(RunsAsAllowed, "%s may have run and is sent again %v later, past its window", w.txn(r.id),
 				span(r.sent-q.firstRan))
 		}
 	}
@@ -141,19 +141,23 @@
 // job, so of those that know that it is cold one job may come within the window.
 func (w *World) coldArrives(r *route) {
 	to := &w.regions[r.region]
-	if to.begun == 0 || w.now-to.begun >= coldFor || to.status != dahliaford.Ready {
+	if !r.cold {
 		return
 	}
-	to.fresh = append(to.fresh, w.now)
-	if n := len(to.fresh); n > 1 && w.now-to.fresh[n-2] < fall {
-		w.fail(ColdSpared, "two jobs come to the cold %s within %v", uid(int(r.region)), span(w.now-to.fresh[n-2]))
+	for _, at := range to.fresh {
+		if gap := max(r.sent-at, at-r.sent); gap < fall {
+			w.fail(ColdSpared, "two jobs are sent to the cold %s within %v", uid(int(r.region)), span(gap))
+		}
 	}
+	to.fresh = append(to.fresh, r.sent)
 }
 
 // writes checks property 5 when a task's first byte goes out.
 func (w *World) writes(r *route) {
-	if told := w.regions[r.region].told; told != 0 && w.now-told > drainGrace {
-		w.fail(DrainsKept, "%s is written to %s, told %v ago to leave", txn(r.id), uid(int(r.region)),
+	to := &w.regions[r.region]
+	r.cold = to.begun != 0 && to.known == to.begun && w.now-to.begun < coldFor && to.status == dahliaford.Ready
+	if told := to.told; told != 0 && w.now-told > drainGrace {
+		w.fail(DrainsKept, "%s is written to %s, told %v ago to leave", w.txn(r.id), uid(int(r.region)),
 			span(w.now-told))
 	}
 }
@@ -162,7 +166,7 @@
 func (w *World) runs(id, at uint8, sent Micros) {
 	q := &w.requests[id]
 	if q.starts++; q.class == Post && q.starts > 1 {
-		w.fail(RunsAsAllowed, "%s runs for the second time, at %s", txn(id), uid(int(at)))
+		w.fail(RunsAsAllowed, "%s runs for the second time, at %s", w.txn(id), uid(int(at)))
 	}
 	if q.ran == 0 {
 		q.firstRan = sent
@@ -178,7 +182,7 @@
 	}
 	for i := range w.requests {
 		if w.requests[i].state == open {
-			w.fail(Answered, "the program ends and %s has no answer", txn(w.requests[i].id))
+			w.fail(Answered, "the program ends and %s has no answer", w.txn(w.requests[i].id))
 		}
 	}
 }
@@ -191,9 +195,9 @@
 			continue
 		}
 		if w.now > q.deadline+jitter {
-			w.fail(Answered, "%s has no answer %v after its client gave up", txn(q.id), span(w.now-q.deadline))
+			w.fail(Answered, "%s has no answer %v after its client gave up", w.txn(q.id), span(w.now-q.deadline))
 		} else if w.now < q.deadline && (w.wake == 0 || w.wake > q.deadline) {
-			w.fail(Ends, "%s is open, and nothing is due before its client gives up", txn(q.id))
+			w.fail(Ends, "%s is open, and nothing is due before its client gives up", w.txn(q.id))
 		}
 	}
 }
@@ -233,14 +237,14 @@
 	}
 	for i := range c.requests {
 		if c.requests[i].state == open {
-			c.fail(Ends, "%s is open, and nothing more happens", txn(c.requests[i].id))
+			c.fail(Ends, "%s is open, and nothing more happens", w.txn(c.requests[i].id))
 		}
 	}
 	for _, j := range c.jobs {
 		if c.gaveUp {
 			continue // nobody could reach it in the time that a program has for its end
 		}
-		c.fail(CalledBack, "%s holds %s, which nobody waits for, and is never told", uid(int(j.region)), txn(j.id))
+		c.fail(CalledBack, "%s holds %s, which nobody waits for, and is never told", uid(int(j.region)), w.txn(j.id))
 	}
 	if c.exited {
 		return c.broke
--- /dev/null
+++ b/internal/explore/race_off_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package explore
+
+const raceOn = false
--- a/internal/explore/search.go
+++ b/internal/explore/search.go
@@ -278,26 +278,42 @@
 	return own
 }
 
-// shorten leaves out steps of a path, one or two at a time, as long as the same property
-// breaks.
+// shorten leaves out steps of a path as long as the same property breaks: first long
+// stretches, then shorter ones, and at last pairs.
 func shorten(cfg *Config, path []Action, broke *Broken) ([]Action, *Broken) {
-	without := func(i, j int) []Action {
-		var left []Action
-		for n, a := range path {
-			if n != i && n != j {
-				left = append(left, a)
+	work := mostShortening
+	try := func(left []Action) bool {
+		if work <= 0 {
+			return false
+		}
+		b, used := replay(cfg, left, nil)
+		work -= used
+		if b == nil || b.Property != broke.Property {
+			return false
+		}
+		path, broke = left[:used], b
+		return true
+	}
+	without := func(i, n int) []Action { return append(append([]Action(nil), path[:i]...), path[i+n:]...) }
+	for n := len(path) / 2; n >= 1; n /= 2 {
+		for i := len(path) - n; i >= 0; i -= n {
+			if i = min(i, len(path)-n); i >= 0 {
+				try(without(i, n))
 			}
 		}
-		return left
 	}
 	for shorter := true; shorter; {
 		shorter = false
 	pairs:
 		for i := len(path) - 1; i >= 0; i-- {
-			for j := i; j >= max(0, i-mostApart); j-- {
-				try := without(i, j)
-				if b, used := replay(cfg, try, nil); b != nil && b.Property == broke.Property {
-					path, broke, shorter = try[:used], b, true
+			if try(without(i, 1)) {
+				shorter = true
+				break
+			}
+			for j := i - 1; j >= max(0, i-mostApart); j-- {
+				left := append(append([]Action(nil), path[:j]...), path[j+1:i]...)
+				if try(append(left, path[i+1:]...)) {
+					shorter = true
 					break pairs
 				}
 			}
@@ -306,8 +322,10 @@
 	return path, broke
 }
 
-// mostApart is how far apart two steps may be that are left out together.
-const mostApart = 40
+const (
+	mostShortening = 2_000_000 // steps that are replayed to shorten a path
+	mostApart      = 40        // how far apart two steps may be that are left out together
+)
 
 // replay plays a path from the root. It tells what broke, and after how many steps; a
 // step that is not enabled ends it.
@@ -364,12 +382,12 @@
 		q := &w.requests[i]
 		b = append(b, byte(q.class), q.id, byte(q.state), byte(q.verdict), q.attempts, q.starts, q.ran, q.made,
 			q.at, byte(q.stage))
-		num(int64(q.caller), int64(q.deadline), int64(q.firstRan), int64(q.last))
+		num(int64(q.caller), int64(q.deadline), int64(q.firstRan), int64(q.last), int64(q.gen))
 	}
 	for i := range w.regions {
 		r := &w.regions[i]
 		flags(r.down, r.silent)
-		num(int64(r.status), int64(r.begun), int64(r.told), int64(len(r.fresh)))
+		num(int64(r.status), int64(r.begun), int64(r.known), int64(r.told), int64(len(r.fresh)))
 		for _, at := range r.fresh {
 			num(int64(at))
 		}
@@ -378,7 +396,7 @@
 	for i := range w.routes {
 		r := &w.routes[i]
 		b = append(b, r.id, r.region, byte(r.phase))
-		flags(r.unheard, r.link.Busy, r.link.Written, r.link.Broken, r.link.Dead)
+		flags(r.cold, r.unheard, r.link.Busy, r.link.Written, r.link.Broken, r.link.Dead)
 		num(int64(r.task), int64(r.status), int64(r.writeBy), int64(r.sent))
 	}
 	for i := range w.jobs {
--- a/internal/explore/trace.go
+++ b/internal/explore/trace.go
@@ -97,9 +97,8 @@
 
 // Verdict is what became of a trace that was played again.
 type Verdict struct {
-	Broken   *Broken  // what broke; nil: nothing
-	Diverged int      // the step that can no longer be taken, from 1; 0: all were
-	Fair     []string // the fair end, where the property broke only there
+	Broken   *Broken // what broke; nil: nothing
+	Diverged int     // the step that can no longer be taken, from 1; 0: all were
 }
 
 // Replay plays a trace again. say is called for each line of the account.
@@ -130,7 +129,7 @@
 		for _, note := range notes[1:] {
 			say("               -> " + note)
 		}
-		if now := w.notes; now != nil && w.broke != nil {
+		if w.broke != nil {
 			return &Verdict{Broken: w.broke}, nil
 		}
 	}
@@ -151,7 +150,7 @@
 			}
 		}
 	}
-	return &Verdict{Broken: broke, Fair: notes}, nil
+	return &Verdict{Broken: broke}, nil
 }
 
 // flight says what is on its way or held.
@@ -159,17 +158,17 @@
 	var all []string
 	for _, r := range w.routes {
 		state := [...]string{"connecting", "written", "its answer on its way", "its end on its way",
-			"half heard", "our close on its way"}[r.phase]
-		all = append(all, fmt.Sprintf("task %d (%s to %s, %s)", r.task, txn(r.id), uid(int(r.region)), state))
+			"half heard", "accepted", "our close on its way"}[r.phase]
+		all = append(all, fmt.Sprintf("task %d (%s to %s, %s)", r.task, w.txn(r.id), uid(int(r.region)), state))
 	}
 	for _, j := range w.jobs {
-		all = append(all, fmt.Sprintf("%s at %s, running %v", txn(j.id), uid(int(j.region)), j.running))
+		all = append(all, fmt.Sprintf("%s at %s, running %v", w.txn(j.id), uid(int(j.region)), j.running))
 	}
 	for _, c := range w.calls {
-		all = append(all, fmt.Sprintf("callback of %s about %s", uid(int(c.region)), txn(c.id)))
+		all = append(all, fmt.Sprintf("callback of %s about %s", uid(int(c.region)), w.txn(c.id)))
 	}
 	for _, wd := range w.withdraws {
-		all = append(all, fmt.Sprintf("DELETE of %s to %s", txn(wd.id), uid(int(wd.region))))
+		all = append(all, fmt.Sprintf("DELETE of %s to %s", w.txn(wd.id), uid(int(wd.region))))
 	}
 	if len(all) == 0 {
 		return "nothing"
--- a/internal/explore/walk.go
+++ b/internal/explore/walk.go
@@ -8,12 +8,12 @@
 // Large is a world that is too large to be explored to its end: it is walked at random.
 func Large() *Config {
 	c := world("large", "six requests, four regions in two racks, all faults many times; walked at random, not to its end",
-		200, []Class{Post, Batch, Batch, Post, Batch, Post}, []int{0, 0, 1, 1}, nil)
+		250, []Class{Post, Batch, Batch, Post, Batch, Post}, []int{0, 0, 1, 1}, nil)
 	for f := range faults {
-		c.Faults[f] = 40
+		c.Faults[f] = 200
 	}
-	c.Faults[SameID], c.Faults[Stop], c.Faults[Panic] = 2, 1, 3
-	c.Overtake = true
+	c.Faults[SameID], c.Faults[Stop], c.Faults[Panic] = 2, 1, 5
+	c.Overtake, c.Renew = true, true
 	return c
 }
 
@@ -47,8 +47,12 @@
 	return r, nil
 }
 
-// walk takes steps that pick chooses, up to the world's end, and then the fair end. Time
-// is held back while much can happen, or it would be over before anything did.
+// rare are the steps that would rule a walk if they were as likely as the others.
+var rare = map[Kind]bool{SigTerm: true, ModuleBreaks: true, SayDraining: true, SayGone: true, MachineSilent: true,
+	ProcessDies: true, WatchLost: true, WatchAnew: true, ReloadConfig: true, ClientLeaves: true, LoseCall: true,
+	KillJob: true, SubmitAgain: true, BreakRoute: true, RefuseRoute: true, WithdrawBreaks: true}
+
+// walk takes steps that pick chooses, up to the world's end, and then the fair end.
 func walk(w *World, pick func(n int) int, path *[]Action) *Broken {
 	var steps []Action
 	for range mostWalk {
@@ -57,6 +61,9 @@
 			break
 		}
 		a := steps[pick(len(steps))]
+		for again := 0; again < 3 && rare[a.Kind] && pick(4) > 0 || a.Kind == SigTerm && pick(2000) > 0; again++ {
+			a = steps[pick(len(steps))]
+		}
 		*path = append(*path, a)
 		w.apply(a)
 		if w.broke != nil {
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 
 	"dahliaford"
 	"dahliaford/internal/link"
@@ -55,7 +56,8 @@
 // request is a submission of the client, and what the regions saw of its id.
 type request struct {
 	class    Class
-	id       uint8 // of the request that first had this id
+	id       uint8  // of the request that first had this id
+	gen      uint16 // how often this one was renewed
 	state    requestState
 	caller   scheduler.Caller
 	deadline Micros
@@ -77,7 +79,8 @@
 	down   bool // its process is dead
 	silent bool // its machine is cut off
 	status dahliaford.Status
-	begun  Micros // its start as told; 0: long ago
+	begun  Micros // its start; 0: long ago
+	known  Micros // its start as the scheduler was told
 	told   Micros // when it was last told to drain or to be gone; 0: it is ready
 	fresh  []Micros
 }
@@ -92,6 +95,7 @@
 	replied          // an answer is on its way
 	broken           // the connection's end is on its way
 	halfHeard        // the loop has heard of the end, and not of the writing
+	idle             // the region has accepted, and its connection is still there
 	closing          // our close follows the request
 )
 
@@ -102,6 +106,7 @@
 	region  uint8
 	phase   phase
 	unheard bool // the writer's word has not reached the loop
+	cold    bool // it was written to a region that the scheduler knew to be cold
 	status  int
 	writeBy Micros
 	sent    Micros
@@ -154,7 +159,15 @@
 }
 
 func uid(region int) string { return "R" + string(rune('0'+region)) }
-func txn(id uint8) string   { return "t" + string(rune('0'+id)) }
+
+// txn is the id of a request's present generation.
+func (w *World) txn(id uint8) string {
+	name := "t" + string(rune('0'+id))
+	if gen := w.requests[id].gen; gen > 0 {
+		name += "." + strconv.Itoa(int(gen))
+	}
+	return name
+}
 
 func regionOf(uid string) uint8 { return uid[1] - '0' }
 func idOf(txn string) uint8     { return txn[1] - '0' }
@@ -184,6 +197,7 @@
 func (w *World) told() {
 	for i := range w.regions {
 		r := &w.regions[i]
+		r.known = r.begun
 		switch {
 		case r.status == dahliaford.Ready:
 			r.told = 0
--- a/internal/scheduler/copy.go
+++ b/internal/scheduler/copy.go
@@ -28,31 +28,38 @@
 	c.byID = make(map[string]*transaction, len(s.byID))
 	c.byJob = make(map[dahliaford.JobID]*transaction, len(s.byJob))
 	c.byTask = make(map[Task]*task, len(s.byTask))
-	for job, t := range s.byJob {
+	copies := make(map[*transaction]*transaction, len(s.byJob))
+	of := func(t *transaction) *transaction {
+		if n := copies[t]; n != nil {
+			return n
+		}
 		copied := *t
 		n := &copied
+		copies[t] = n
 		n.tasks = make([]*task, len(t.tasks))
 		for i, k := range t.tasks {
 			copied := *k
 			copied.of, copied.region = n, c.byNumber[k.region.number]
 			n.tasks[i] = &copied
-			if s.byTask[k.number] == k {
-				c.byTask[k.number] = &copied
-			}
-		}
-		c.byJob[job] = n
-		if s.byCaller[t.caller] == t {
-			c.byCaller[t.caller] = n
-		}
-		if s.byID[t.id] == t {
-			c.byID[t.id] = n
 		}
+		return n
+	}
+	for job, t := range s.byJob {
+		c.byJob[job] = of(t)
+	}
+	for caller, t := range s.byCaller {
+		c.byCaller[caller] = of(t)
+	}
+	for id, t := range s.byID {
+		c.byID[id] = of(t)
+	}
+	for n, k := range s.byTask {
+		c.byTask[n] = of(k.of).tasks[slices.Index(k.of.tasks, k)]
 	}
 	c.recalls = make(map[Task]*recall, len(s.recalls))
-	copies := map[*transaction]*transaction{}
 	for n, r := range s.recalls {
 		copied := *r
-		copied.task = s.copyOf(&c, r.task, copies)
+		copied.task = of(r.task.of).tasks[slices.Index(r.task.of.tasks, r.task)]
 		c.recalls[n] = &copied
 	}
 	c.used.now, c.used.before = maps.Clone(s.used.now), maps.Clone(s.used.before)
@@ -61,27 +68,6 @@
 	return &c
 }
 
-// copyOf finds or makes the copy of a task: its transaction may be over and only the
-// recall still hold it.
-func (s *Scheduler) copyOf(c *Scheduler, k *task, copies map[*transaction]*transaction) *task {
-	t := c.byJob[k.of.job]
-	if t == nil {
-		t = copies[k.of]
-	}
-	if t == nil {
-		copied := *k.of
-		t = &copied
-		t.tasks = make([]*task, len(k.of.tasks))
-		for i, k := range k.of.tasks {
-			copied := *k
-			copied.of, copied.region = t, c.byNumber[k.region.number]
-			t.tasks[i] = &copied
-		}
-		copies[k.of] = t
-	}
-	return t.tasks[slices.Index(k.of.tasks, k)]
-}
-
 // AppendState appends a form of the state between two events that is the same for two
 // states if they act alike from here on. Payloads are left out.
 func (s *Scheduler) AppendState(b []byte) []byte {
@@ -172,7 +158,10 @@
 // Kept tells what is held after all that has come due is dealt with.
 func (s *Scheduler) Kept() Kept {
 	k := Kept{Callers: len(s.byCaller), IDs: len(s.byID), Jobs: len(s.byJob), Tasks: len(s.byTask), Recalls: len(s.recalls),
-		Used: len(s.used.now) + len(s.used.before), ModuleJobs: s.module.Open()}
+		Used: len(s.used.now) + len(s.used.before)}
+	if s.module != nil {
+		k.ModuleJobs = s.module.Open()
+	}
 	for _, d := range s.due {
 		if !d.timer {
 			k.Dues++
