Check the real program against regions that do wrong whatever they may

Need: the explorer leaves out sockets. Whether the real program keeps the same properties while its regions turn away, fail, break, fall silent, call back early, late and again, run on for ever, crash and drain, no test said.

Change: internal/standin (scripted regions, discovery, clients; the toy server uses it), internal/record (the properties, on a history of what all saw), internal/rig (the program among them), dahlialab drill attempt, and a test of 4 s.

--- a/cmd/dahlialab/drill.go
+++ b/cmd/dahlialab/drill.go
@@ -35,6 +35,8 @@
 }
 
 var drills = map[string]drill{
+	"attempt": {"the real program against stand-ins that do wrong whatever the protocol allows; checks what all saw",
+		attempts},
 	"planted": {"plants faults in reducer, connections and module, one build each, and lets the explorer find them",
 		planting},
 }
--- a/cmd/dahlialab/explore.go
+++ b/cmd/dahlialab/explore.go
@@ -24,6 +24,9 @@
 	List     bool          `help:"List the worlds and the properties."`
 	Replay   string        `help:"Play a trace again, step by step." placeholder:"TRACE" type:"path"`
 	Walk     bool          `help:"Walk a larger world at random, thousands of steps deep."`
+	Requests int           `help:"So many requests instead of the world's own." default:"0"`
+	Regions  int           `help:"So many regions instead of the world's own." default:"0"`
+	Faults   int           `help:"So many faults in all instead of the world's own." default:"-1"`
 	Workers  int           `help:"How many goroutines search; 0: one for each core." default:"0"`
 	Engine   string        `help:"How states are made: copy, or replay from the root (the yardstick)." enum:"copy,replay" default:"copy"`
 	Coverage bool          `help:"Print the table of events by stages of an attempt."`
@@ -84,6 +87,9 @@
 		if cfg, err = explore.ByName(c.World); err != nil {
 			return misuse("%v", err)
 		}
+		if cfg, err = cfg.With(c.Requests, c.Regions, c.Faults); err != nil {
+			return misuse("%v", err)
+		}
 		r, err = explore.Search(ctx, cfg, opt)
 	}
 	if tty {
--- a/internal/explore/config.go
+++ b/internal/explore/config.go
@@ -111,6 +111,39 @@
 	return deadlineOfBatch
 }
 
+// With is the world with another number of requests (of alternating classes), of regions
+// (in the first one's rack) and of faults in all; 0, 0 and -1 leave them as they are.
+func (c *Config) With(requests, regions, most int) (*Config, error) {
+	n := *c
+	n.Requests, n.Racks = slices.Clone(c.Requests), slices.Clone(c.Racks)
+	switch {
+	case requests < 0 || requests > mostRequests:
+		return nil, fmt.Errorf("0 to %d requests", mostRequests)
+	case regions < 0 || regions > mostRegions:
+		return nil, fmt.Errorf("0 to %d regions", mostRegions)
+	case most < -1 || most > 255:
+		return nil, fmt.Errorf("0 to 255 faults")
+	}
+	for requests > 0 && len(n.Requests) != requests {
+		if len(n.Requests) > requests {
+			n.Requests = n.Requests[:requests]
+			continue
+		}
+		n.Requests = append(n.Requests, 1-n.Requests[len(n.Requests)-1])
+	}
+	for regions > 0 && len(n.Racks) != regions {
+		if len(n.Racks) > regions {
+			n.Racks = n.Racks[:regions]
+			continue
+		}
+		n.Racks = append(n.Racks, n.Racks[0])
+	}
+	if most >= 0 {
+		n.Most = uint8(most)
+	}
+	return &n, nil
+}
+
 func (c *Config) prepare() error {
 	if len(c.settings.Classes) > 0 {
 		return nil
--- a/internal/node/region.go
+++ b/internal/node/region.go
@@ -61,6 +61,7 @@
 	id    string
 	since scheduler.Micros
 	gate  atomic.Int32 // of the errand: open, writing or shut; the first to move it wins
+	cut   atomic.Bool  // what has not left yet must not, once the connection closes
 }
 
 // The states of the gate between the loop, which may give an errand up, and the writer.
@@ -165,6 +166,7 @@
 	} else if c.gate.CompareAndSwap(gateOpen, gateShut) {
 		n.unsent = task // the withdrawal that follows has nobody to tell
 	}
+	c.cut.Store(true)
 	n.drop(c)
 }
 
@@ -263,7 +265,12 @@
 		n.post(wrote{c, err})
 		return
 	}
-	defer conn.Close()
+	defer func() {
+		if tcp, ok := conn.(*net.TCPConn); ok && c.cut.Load() {
+			tcp.SetLinger(0) // a machine that is silent would get the request when it is back
+		}
+		conn.Close()
+	}()
 	over := make(chan struct{})
 	n.spawn(func() {
 		defer close(over)
--- /dev/null
+++ b/internal/rig/attempt.go
@@ -0,0 +1,242 @@
+package rig
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"strconv"
+	"sync"
+	"time"
+
+	"dahliaford/internal/record"
+	"dahliaford/internal/standin"
+)
+
+// Attempts says how the drill of that name is run.
+type Attempts struct {
+	Bin  string        // the scheduler's program
+	For  time.Duration // how long jobs are handed in
+	Seed uint64
+	Rate float64 // jobs a second
+}
+
+// Outcome is what a run showed.
+type Outcome struct {
+	Jobs, Served, Refused, Failed, Left int
+	Attempts, Runs, Withdrawn           int
+	Crashes, Drains                     int
+	Events                              int
+	Findings                            []record.Finding
+	Log                                 []string // of the scheduler
+}
+
+const (
+	regions = 4
+	rested  = 8 * time.Second // after the last job, for what is still to be called back
+)
+
+// RunAttempts hands jobs in to the real program, whose four regions in two racks do wrong
+// whatever the protocol allows: they turn away, fail, break, fall silent, call back early,
+// again and out of time, run on for ever, crash and drain. It checks what all saw.
+func RunAttempts(ctx context.Context, a Attempts) (*Outcome, error) {
+	var mu sync.Mutex
+	var history []record.Event
+	rec := standin.Recorder(func(e record.Event) {
+		mu.Lock()
+		history = append(history, e)
+		mu.Unlock()
+	})
+	folder, err := os.MkdirTemp("", "attempts")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(folder)
+	var sched *Process
+	var at sync.RWMutex
+	scheduler := func() string {
+		at.RLock()
+		defer at.RUnlock()
+		if sched == nil {
+			return "127.0.0.1:1"
+		}
+		return sched.Addr
+	}
+	var fleet []*standin.Region
+	var lines []standin.Line
+	rules := record.Rules{Once: map[string]bool{"post-reading": true}, Rack: map[string]string{},
+		Window: 10 * time.Second, DrainGrace: 550 * time.Millisecond, MostAttempts: 4, Slack: 400 * time.Millisecond,
+		Watched: 3 * time.Second}
+	for i := range regions {
+		uid := fmt.Sprintf("s-%08x", i+1)
+		r, err := standin.NewRegion(uid, "127.0.0.1:0", scheduler, mischief(a.Seed, i), rec)
+		if err != nil {
+			return nil, err
+		}
+		defer r.Close()
+		fleet = append(fleet, r)
+		lines = append(lines, standin.Line{UID: uid, Endpoint: r.Addr(), Zone: "north", Model: "m1", Group: i / 2, State: "ready"})
+		rules.Rack[uid] = strconv.Itoa(i / 2)
+	}
+	discovery, err := standin.NewDiscovery("127.0.0.1:0", lines...)
+	if err != nil {
+		return nil, err
+	}
+	defer discovery.Close()
+	p, err := Start(a.Bin, folder, "n0", discovery.Addr())
+	if err != nil {
+		return nil, err
+	}
+	at.Lock()
+	sched = p
+	at.Unlock()
+	defer p.Kill()
+	out := &Outcome{}
+	handing, cancel := context.WithTimeout(ctx, a.For)
+	defer cancel()
+	var troubles sync.WaitGroup
+	troubles.Go(func() { trouble(handing, a.Seed, out, fleet, lines, discovery, rec) })
+	handIn(handing, a, p.Addr, rec)
+	troubles.Wait()
+	select {
+	case <-ctx.Done():
+	case <-time.After(rested):
+	}
+	if err := p.Stop(time.Now().Add(10 * time.Second)); err != nil {
+		return nil, fmt.Errorf("the scheduler's end: %w", err)
+	}
+	mu.Lock()
+	defer mu.Unlock()
+	out.count(history)
+	out.Findings, out.Log = record.Check(rules, history), p.Log()
+	return out, nil
+}
+
+// handIn hands jobs in at an even pace, and waits for their ends.
+func handIn(ctx context.Context, a Attempts, addr string, rec standin.Recorder) {
+	random := rand.New(rand.NewPCG(a.Seed, 1))
+	tick := time.NewTicker(time.Duration(float64(time.Second) / a.Rate))
+	defer tick.Stop()
+	var open sync.WaitGroup
+	defer open.Wait()
+	for n := 0; ; n++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-tick.C:
+		}
+		s := standin.Submission{ID: fmt.Sprintf("%x-%x", a.Seed, n), Class: "post-reading", Tenant: "sahel",
+			Body: fmt.Appendf(nil, "job %d", n), Deadline: time.Now().Add(2 * time.Second)}
+		if random.IntN(2) == 0 {
+			s.Class, s.Key, s.Deadline = "district-batch", "k-"+s.ID, time.Now().Add(4*time.Second)
+		}
+		if random.IntN(12) == 0 {
+			s.Leave = time.Now().Add(time.Duration(random.IntN(300)) * time.Millisecond)
+		}
+		open.Go(func() { standin.Submit(addr, s, rec) })
+	}
+}
+
+// mischief plans what a region does with each job.
+func mischief(seed uint64, region int) func(standin.Job) standin.Plan {
+	var mu sync.Mutex
+	random := rand.New(rand.NewPCG(seed, uint64(100+region)))
+	ms := func(n int) time.Duration { return time.Duration(random.IntN(n)) * time.Millisecond }
+	return func(standin.Job) standin.Plan {
+		mu.Lock()
+		defer mu.Unlock()
+		p := standin.Plan{Wait: ms(8), Queue: ms(10), Run: 10*time.Millisecond + ms(60)}
+		switch random.IntN(40) {
+		case 0, 1, 2:
+			p.Status, p.TurnedAway = 503, true
+		case 3:
+			p.Status = 500
+		case 4:
+			p.Break = true
+		case 5:
+			p.Silent = true
+		case 6, 7:
+			p.End = "failed"
+		case 8, 9, 10:
+			p.End = "returned"
+		case 11:
+			p.End = "lost"
+		case 12:
+			p.End = "never"
+		case 13:
+			p.Wait = 300*time.Millisecond + ms(400)
+		case 14, 15:
+			p.Run = 500*time.Millisecond + ms(900)
+		}
+		p.Early = random.IntN(4) == 0
+		if random.IntN(4) == 0 {
+			p.Repeat = 1 + random.IntN(9)
+		}
+		return p
+	}
+}
+
+// trouble crashes regions, lets them drain, and breaks the watch, one after another.
+func trouble(ctx context.Context, seed uint64, out *Outcome, fleet []*standin.Region, lines []standin.Line,
+	discovery *standin.Discovery, rec standin.Recorder) {
+	random := rand.New(rand.NewPCG(seed, 2))
+	rest := func(d time.Duration) bool {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(d):
+			return true
+		}
+	}
+	for rest(400*time.Millisecond + time.Duration(random.IntN(600))*time.Millisecond) {
+		i := random.IntN(len(fleet))
+		line := lines[i]
+		switch random.IntN(4) {
+		case 0:
+			out.Crashes++
+			fleet[i].Crash()
+			line.BootMs = time.Now().UnixMilli()
+			lines[i] = line
+			discovery.Set(line)
+		case 1, 2:
+			out.Drains++
+			line.State = []string{"draining", "gone"}[random.IntN(2)]
+			discovery.Set(line)
+			rec(record.Event{At: time.Now(), Kind: record.Told, Who: line.UID})
+			if !rest(1200 * time.Millisecond) {
+				return
+			}
+			rec(record.Event{At: time.Now(), Kind: record.Back, Who: line.UID})
+			discovery.Set(lines[i])
+		case 3:
+			discovery.Break()
+		}
+	}
+}
+
+func (o *Outcome) count(history []record.Event) {
+	o.Events = len(history)
+	for _, e := range history {
+		switch e.Kind {
+		case record.Sent:
+			o.Jobs++
+		case record.Left:
+			o.Left++
+		case record.Arrived:
+			o.Attempts++
+		case record.Started:
+			o.Runs++
+		case record.Withdrawn:
+			o.Withdrawn++
+		case record.Answered:
+			switch e.Status {
+			case 200:
+				o.Served++
+			case 503, 429:
+				o.Refused++
+			default:
+				o.Failed++
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/rig/process.go
@@ -0,0 +1,134 @@
+// Package rig runs the real program on loopback against stand-ins, for tests and drills.
+package rig
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Process is one scheduler that runs.
+type Process struct {
+	Addr string
+	cmd  *exec.Cmd
+	ends chan struct{} // closed when it has ended
+	mu   sync.Mutex
+	log  []string
+	err  error
+}
+
+// startWithin is the longest that a scheduler may take to say that it serves.
+const startWithin = 20 * time.Second
+
+// settings of the deployments that the rig starts: deadlines of seconds, and racks.
+func settings() map[string]any {
+	return map[string]any{
+		"me": 0, "balancers": 1, "locality": 0, "azs": []string{"north"}, "kinds": []string{"m1"},
+		"granularity": 2000, "discovery": "on_request", "worth_by": "request", "over_share_worth": 0.2,
+		"grades": []map[string]any{
+			{"name": "post-reading", "slo": 1000000, "deadline": 2000000, "worth": 2, "late_worth": 0.5,
+				"semantics": "at_most_once"},
+			{"name": "district-batch", "slo": 2000000, "deadline": 4000000, "worth": 3, "late_worth": 0.5,
+				"semantics": "deduplicated", "dedup_scope": "cell", "memory_span": 10000000}},
+		"customers":   []map[string]any{{"name": "sahel", "quota_per_s": 0}},
+		"family_info": map[string]any{"class_kind": []int{-1, -1}, "class_stretch": []float64{2, 2}, "tells_start": true},
+		"guarantees": map[string]any{"ask_within": 10000000, "cold": 2000000, "cold_from": 0.3, "drain_grace": 500000,
+			"fall": 500000, "overload_factor": 4},
+		"limits": map[string]any{"attempts_cap": 4, "cancel": true, "conn_idle": 60000000, "connect_timeout": 250000,
+			"max_retry_after": 2000000, "retry_after": true},
+		"prices": map[string]any{"cross_zone": 0}, "report": map[string]any{"how": "off"},
+	}
+}
+
+// Start starts a scheduler on a free port. folder takes its configuration.
+func Start(bin, folder, name, discovery string) (*Process, error) {
+	raw, err := json.Marshal(map[string]any{"name": name, "listen": "127.0.0.1:0", "discovery": discovery, "seed": "1d",
+		"limits": map[string]any{"cores": 1, "memory_mb": 64, "sockets": 512},
+		"known":  map[string]any{"rev": 0, "all": true, "targets": []any{}}, "settings": settings()})
+	if err != nil {
+		return nil, err
+	}
+	path := filepath.Join(folder, name+".json")
+	if err := os.WriteFile(path, raw, 0o666); err != nil {
+		return nil, err
+	}
+	p := &Process{cmd: exec.Command(bin), ends: make(chan struct{})}
+	p.cmd.Env = append(os.Environ(), "BALANCER_CONFIG="+path, "BALANCER_NAME=", "BALANCER_LISTEN=", "BALANCER_DISCOVERY=")
+	out, err := p.cmd.StderrPipe()
+	if err != nil {
+		return nil, err
+	}
+	if err := p.cmd.Start(); err != nil {
+		return nil, err
+	}
+	serving := make(chan string, 1)
+	go func() {
+		for lines := bufio.NewScanner(out); lines.Scan(); {
+			p.note(lines.Text())
+			if _, rest, ok := strings.Cut(lines.Text(), "msg=serving"); ok {
+				if _, addr, ok := strings.Cut(rest, "listen="); ok {
+					serving <- strings.Fields(addr)[0]
+				}
+			}
+		}
+		p.err = p.cmd.Wait()
+		close(p.ends)
+	}()
+	ctx, cancel := context.WithTimeout(context.Background(), startWithin)
+	defer cancel()
+	select {
+	case p.Addr = <-serving:
+		return p, nil
+	case <-p.ends:
+		return nil, fmt.Errorf("%s ended at once: %s", name, strings.Join(p.Log(), "\n"))
+	case <-ctx.Done():
+		p.Kill()
+		return nil, fmt.Errorf("%s does not serve: %s", name, strings.Join(p.Log(), "\n"))
+	}
+}
+
+// mostLog is how many lines of a process's log are kept.
+const mostLog = 5000
+
+func (p *Process) note(line string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.log) < mostLog {
+		p.log = append(p.log, line)
+	}
+}
+
+// Log has the first lines of its log.
+func (p *Process) Log() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]string(nil), p.log...)
+}
+
+// Kill ends it at once.
+func (p *Process) Kill() {
+	p.cmd.Process.Kill()
+	<-p.ends
+}
+
+// Stop asks for its orderly end and waits for that until a deadline.
+func (p *Process) Stop(deadline time.Time) error {
+	if err := p.cmd.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case <-p.ends:
+		return p.err
+	case <-time.After(time.Until(deadline)):
+		p.Kill()
+		return fmt.Errorf("it had not ended by its deadline")
+	}
+}
--- /dev/null
+++ b/internal/rig/rig_test.go
@@ -0,0 +1,57 @@
+package rig
+
+import (
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// program builds the scheduler once for the tests of this package.
+func program(t *testing.T, args ...string) string {
+	t.Helper()
+	bin := filepath.Join(t.TempDir(), "dahliaford")
+	root, err := filepath.Abs("../..")
+	if err != nil {
+		t.Fatal(err)
+	}
+	build := exec.Command("go", append(append([]string{"build"}, args...), "-o", bin, "./cmd/dahliaford")...)
+	build.Dir = root
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	return bin
+}
+
+// The real program keeps the properties while its regions do wrong whatever they may.
+func TestAttemptsOfTheRealProgram(t *testing.T) {
+	o, err := RunAttempts(t.Context(), Attempts{Bin: program(t), For: 4 * time.Second, Seed: 7, Rate: 50})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%d jobs, %d served, %d refused, %d failed, %d left, %d attempts, %d events", o.Jobs, o.Served, o.Refused,
+		o.Failed, o.Left, o.Attempts, o.Events)
+	for _, f := range o.Findings {
+		t.Error(f)
+	}
+	if o.Jobs < 20 || o.Served < 5 {
+		t.Errorf("too little happened: %+v", o)
+	}
+	if t.Failed() {
+		for _, line := range o.Log {
+			t.Log(line)
+		}
+	}
+}
+
+// A program that does not start says so.
+func TestStartFails(t *testing.T) {
+	bin := program(t)
+	if _, err := Start(bin, t.TempDir(), "n0", ""); err == nil {
+		t.Error("it started without a discovery")
+	}
+	if _, err := os.Stat(bin); err != nil {
+		t.Error(err)
+	}
+}
--- /dev/null
+++ b/internal/standin/client.go
@@ -0,0 +1,63 @@
+package standin
+
+import (
+	"net"
+	"strconv"
+	"time"
+
+	"dahliaford/internal/http1"
+	"dahliaford/internal/record"
+)
+
+// Submission is one job that a client hands in.
+type Submission struct {
+	ID, Class, Tenant, Key string
+	Body                   []byte
+	Deadline               time.Time // the client gives up then
+	Leave                  time.Time // it leaves before that; zero: it waits
+}
+
+// Submit hands a job in on a connection of its own and waits for the answer.
+func Submit(addr string, s Submission, rec Recorder) (*http1.Response, error) {
+	until, event := s.Deadline, record.Event{ID: s.ID, Who: "client", Class: s.Class}
+	dialer := net.Dialer{Deadline: until}
+	conn, err := dialer.Dial("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	left := strconv.FormatInt(max(time.Until(s.Deadline).Milliseconds(), 0), 10)
+	event.Kind, event.Until = record.Sent, s.Deadline
+	rec.say(event)
+	if _, err := conn.Write(http1.AppendRequest(nil, "POST", "/"+s.Class+"/"+s.ID, []http1.Field{
+		{Name: "Host", Value: addr}, {Name: "X-Txn", Value: s.ID}, {Name: "X-Lane", Value: s.Class},
+		{Name: "X-Org", Value: s.Tenant}, {Name: "X-Remaining-Ms", Value: left},
+		{Name: "Idempotency-Key", Value: s.Key}}, s.Body)); err != nil {
+		event.Kind = record.Unanswered
+		rec.say(event)
+		return nil, err
+	}
+	if !s.Leave.IsZero() && s.Leave.Before(until) {
+		until = s.Leave
+	}
+	conn.SetReadDeadline(until.Add(grace(s)))
+	m, err := http1.NewReader(conn).Response()
+	switch {
+	case err == nil:
+		event.Kind, event.Status, event.Result = record.Answered, m.Status, string(m.Body)
+	case !s.Leave.IsZero():
+		event.Kind = record.Left
+	default:
+		event.Kind = record.Unanswered
+	}
+	rec.say(event)
+	return m, err
+}
+
+// grace is how much longer than its deadline a client listens, to see a late answer as such.
+func grace(s Submission) time.Duration {
+	if s.Leave.IsZero() {
+		return 2 * time.Second
+	}
+	return 0
+}
