--- /dev/null
+++ b/desk/conn.go
@@ -0,0 +1,241 @@
+package desk
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"dahliaford/desk/internal/plan"
+	"dahliaford/internal/http1"
+)
+
+// conn is a connection to a scheduler. It belongs to one try at a time, or to the pool.
+type conn struct {
+	net.Conn
+	read  *http1.Reader
+	used  bool // it has carried a whole exchange before
+	last  bool // the scheduler closes it after this answer
+	since time.Time
+}
+
+// keptFor is how long an idle connection is used again. The front's side may close one at
+// any time, and a request that crosses the close may not be repeated by every class.
+const keptFor = 10 * time.Second
+
+// pool keeps the connections that idle, by scheduler, and bounds and paces new ones.
+type pool struct {
+	addrs []string
+	room  []chan struct{} // one taken for each connection of a scheduler that is in use
+	pace  *rate.Limiter
+
+	mu     sync.Mutex
+	idle   [][]*conn
+	closed bool
+}
+
+func newPool(addrs []string, most int, perSecond float64) *pool {
+	p := &pool{addrs: addrs, idle: make([][]*conn, len(addrs)),
+		pace: rate.NewLimiter(rate.Limit(perSecond), max(1, int(math.Ceil(perSecond))))}
+	for range addrs {
+		p.room = append(p.room, make(chan struct{}, most))
+	}
+	return p
+}
+
+// get takes a connection that idles, or opens one when the pace allows.
+func (p *pool) get(ctx context.Context, i int) (*conn, error) {
+	select {
+	case p.room[i] <- struct{}{}:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	if c := p.kept(i); c != nil {
+		return c, nil
+	}
+	if err := p.pace.Wait(ctx); err != nil {
+		<-p.room[i]
+		return nil, err
+	}
+	var dialer net.Dialer
+	inner, err := dialer.DialContext(ctx, "tcp", p.addrs[i])
+	if err != nil {
+		<-p.room[i]
+		return nil, err
+	}
+	return &conn{Conn: inner, read: http1.NewReader(inner)}, nil
+}
+
+// kept takes the connection that has idled the shortest; older ones are closed.
+func (p *pool) kept(i int) *conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := len(p.idle[i])
+	if n == 0 {
+		return nil
+	}
+	c := p.idle[i][n-1]
+	p.idle[i] = p.idle[i][:n-1]
+	if time.Since(c.since) <= keptFor {
+		return c
+	}
+	c.Close()
+	for _, older := range p.idle[i] {
+		older.Close()
+	}
+	p.idle[i] = nil
+	return nil
+}
+
+// put gives a connection back: to be used again, or to be closed.
+func (p *pool) put(i int, c *conn, again bool) {
+	p.mu.Lock()
+	if again = again && !p.closed; again {
+		c.used, c.since = true, time.Now()
+		p.idle[i] = append(p.idle[i], c)
+	}
+	p.mu.Unlock()
+	if !again {
+		c.Close()
+	}
+	<-p.room[i]
+}
+
+func (p *pool) close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = true
+	for i := range p.idle {
+		for _, c := range p.idle[i] {
+			c.Close()
+		}
+		p.idle[i] = nil
+	}
+}
+
+// outcome is the end of a try.
+type outcome struct {
+	proof   plan.Proof
+	status  int
+	body    []byte
+	advised bool
+	advice  time.Duration
+	err     error
+}
+
+func (o outcome) result() plan.Result {
+	return plan.Result{Proof: o.proof, Status: o.status, Advised: o.advised, Advice: o.advice}
+}
+
+// try makes one try, and says what its end proves.
+func (c *Client) try(ctx context.Context, job *Job, step plan.Step, deadline time.Time) outcome {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	link, err := c.pool.get(ctx, step.Scheduler)
+	if err != nil {
+		return outcome{proof: plan.NotSent, err: err}
+	}
+	again := false
+	defer func() { c.pool.put(step.Scheduler, link, again) }()
+	// A cancelled caller closes the connection at once: that is how a scheduler is told.
+	defer context.AfterFunc(ctx, func() { link.SetDeadline(time.Now()) })()
+	link.SetDeadline(deadline)
+	left := time.Until(deadline).Milliseconds()
+	if left <= 0 {
+		return outcome{proof: plan.NotSent, err: context.DeadlineExceeded}
+	}
+	if n, err := link.Write(c.request(job, step, left)); err != nil {
+		return outcome{proof: plan.NotSent, err: err}
+	} else if n == 0 {
+		return outcome{proof: plan.NotSent, err: io.ErrShortWrite}
+	}
+	o := link.answer()
+	again = o.proof == plan.Answered && !link.last
+	return o
+}
+
+func (c *Client) request(job *Job, step plan.Step, leftMs int64) []byte {
+	id := newID()
+	object, tenant, resent, labels := job.Object, job.Tenant, "", ""
+	if object == "" {
+		object = id
+	}
+	if tenant == "" {
+		tenant = c.cfg.Tenant
+	}
+	if step.Resent {
+		resent = "1"
+	}
+	if job.Slots > 1 {
+		labels = "slots=" + strconv.Itoa(job.Slots)
+	}
+	return http1.AppendRequest(nil, "POST", "/"+url.PathEscape(job.Class)+"/"+url.PathEscape(object),
+		[]http1.Field{
+			{Name: "Host", Value: c.cfg.Schedulers[step.Scheduler]}, {Name: "X-Txn", Value: id},
+			{Name: "X-Lane", Value: job.Class}, {Name: "X-Org", Value: tenant},
+			{Name: "X-Remaining-Ms", Value: strconv.FormatInt(leftMs, 10)}, {Name: "X-Resent", Value: resent},
+			{Name: "X-Labels", Value: labels}, {Name: "Idempotency-Key", Value: job.Key}}, job.Body)
+}
+
+// mostInterim is how many interim answers a scheduler may send before the final one.
+const mostInterim = 8
+
+// answer reads the answer to a request that is out. Only an answer that is whole and says
+// how long it is counts as one.
+func (c *conn) answer() outcome {
+	if err := c.read.Wait(); err != nil {
+		var timeout net.Error
+		if c.used && !(errors.As(err, &timeout) && timeout.Timeout()) {
+			return outcome{proof: plan.Crossed, err: err}
+		}
+		return outcome{proof: plan.Lost, err: err}
+	}
+	for range mostInterim {
+		r, err := c.read.Head()
+		switch {
+		case err != nil:
+			return unread(err)
+		case r.Status < 200:
+			continue
+		case r.Header.Get("Content-Length") == "" && r.Header.Get("Transfer-Encoding") == "" && r.Status != 204:
+			return outcome{proof: plan.Garbled, err: errors.New("an answer that does not say how long it is")}
+		}
+		if err := c.read.Rest(r); err != nil {
+			return unread(err)
+		}
+		c.last = r.Close
+		o := outcome{proof: plan.Answered, status: r.Status, body: r.Body}
+		o.advice, o.advised = advice(r.Header.Get("Retry-After"))
+		return o
+	}
+	return outcome{proof: plan.Garbled, err: errors.New("interim answers without end")}
+}
+
+// unread tells an answer that breaks the protocol from one that broke off.
+func unread(err error) outcome {
+	var wrong *http1.Error
+	if errors.As(err, &wrong) {
+		return outcome{proof: plan.Garbled, err: err}
+	}
+	return outcome{proof: plan.Lost, err: err}
+}
+
+// advice reads Retry-After: seconds, whole or decimal. A date, or what is no number, is
+// taken for no advice.
+func advice(text string) (time.Duration, bool) {
+	seconds, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(seconds >= 0) {
+		return 0, false
+	}
+	if seconds > plan.LongestAdvice.Seconds() {
+		return plan.LongestAdvice, true
+	}
+	return time.Duration(seconds * float64(time.Second)), true
+}
--- /dev/null
+++ b/desk/desk.go
@@ -0,0 +1,299 @@
+// Package desk is the client library for dispatch desks: it hands jobs in to the schedulers
+// of dahliaford and waits for their ends. It keeps a job's deadline over all tries, marks
+// retries as retries, honours refusals, repeats nothing that its class does not allow, and
+// bounds what retries may add to the load.
+package desk
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"dahliaford/desk/internal/plan"
+)
+
+// Effect says what a class of jobs allows once a try may have run.
+type Effect string
+
+// The effects of a class.
+const (
+	// Once marks jobs that must never run twice. What may have run is never repeated.
+	Once Effect = "once"
+	// Rack marks jobs whose repeats are dropped within one rack. A desk cannot say to which
+	// rack a repeat would go, so it repeats none that may have run; the scheduler does.
+	Rack Effect = "rack"
+	// Anywhere marks jobs whose repeats are dropped everywhere, within the class's window.
+	Anywhere Effect = "anywhere"
+	// Safe marks jobs that may be repeated at will.
+	Safe Effect = "safe"
+)
+
+var effects = map[Effect]plan.Effect{Once: plan.Once, Rack: plan.Rack, Anywhere: plan.Anywhere,
+	Safe: plan.Safe}
+
+// Class describes a class of jobs, as the schedulers know it.
+type Class struct {
+	Deadline time.Duration // a job's whole wait, over all its tries; it must be positive
+	Effect   Effect
+	Window   time.Duration // for Anywhere: how long repeats are dropped, from the first try on
+	Tries    int           // at most, the first one included; 0: 3
+}
+
+// Config is what a desk is told. Only Schedulers and Classes must be set.
+type Config struct {
+	Schedulers []string         // host:port of each
+	Classes    map[string]Class // by name
+	Tenant     string           // whose jobs these are, unless a job says otherwise
+	// Budget is the share of fresh jobs that retries may add to the load; 0: 0.1. When it is
+	// used up, a caller gets the refusal at once. A negative one allows no retries.
+	Budget float64
+	// Connections is how many a scheduler may have from this desk; 0: 64.
+	Connections int
+	// Reconnects is how many new connections a second the desk opens, all schedulers
+	// together, beyond a first burst of as many; 0: 50.
+	Reconnects float64
+	Log        *slog.Logger // nil: none
+	Seed       uint64       // of all that is left to chance; 0: a new one
+}
+
+// Job is one job to hand in.
+type Job struct {
+	Class  string
+	Tenant string // "": the desk's
+	Object string // what it is about: the last part of the path; "": its first id
+	Key    string // of a keyed class; it stays the same over all tries
+	Body   []byte // at most 64 KiB
+	Slots  int    // that it takes; 0: one
+	// Deadline is when its caller gives up. Zero: the class's deadline from now on. A
+	// deadline of the context that is earlier goes before it.
+	Deadline time.Time
+}
+
+// Result is a job's result.
+type Result struct {
+	Body  []byte // as the region made it
+	Tries int    // how many it took
+}
+
+// Refused says that a job did not run: handing it in again is harmless.
+type Refused struct {
+	After time.Time // not before that
+	Cause error     // what kept it from being sent; nil: a scheduler refused it
+}
+
+func (e *Refused) Error() string {
+	if e.Cause != nil {
+		return "desk: not sent: " + e.Cause.Error()
+	}
+	return "desk: refused"
+}
+
+// Unwrap returns the cause.
+func (e *Refused) Unwrap() error { return e.Cause }
+
+// Failed says that a job failed. It may have run.
+type Failed struct{ Status int }
+
+func (e *Failed) Error() string { return fmt.Sprintf("desk: failed, status %d", e.Status) }
+
+// Unknown says that a job may have run, and that nobody can say how it ended.
+type Unknown struct{ Cause error }
+
+func (e *Unknown) Error() string {
+	if e.Cause == nil {
+		return "desk: may have run"
+	}
+	return "desk: may have run: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Unknown) Unwrap() error { return e.Cause }
+
+// Invalid says that a job makes no sense, to the desk (Status is 0) or to a scheduler.
+type Invalid struct {
+	Status int
+	Text   string
+}
+
+func (e *Invalid) Error() string { return "desk: invalid: " + e.Text }
+
+// Expired says that no time was left to hand a job in. It did not run.
+type Expired struct{}
+
+func (e *Expired) Error() string { return "desk: no time left" }
+
+// Client hands jobs in. It is safe for many goroutines.
+type Client struct {
+	cfg     Config
+	classes map[string]int
+	log     *slog.Logger
+	pool    *pool
+
+	mu   sync.Mutex // guards plan
+	plan *plan.Plan
+}
+
+// The figures that a desk does not choose.
+const (
+	defaultTries       = 3
+	defaultBudget      = 0.1
+	spareRetries       = 10
+	defaultConnections = 64
+	defaultReconnects  = 50
+	mostBody           = 64 << 10
+)
+
+// New returns a client. The error names the field that makes no sense.
+func New(cfg Config) (*Client, error) {
+	if cfg.Budget == 0 {
+		cfg.Budget = defaultBudget
+	}
+	spare := float64(spareRetries)
+	if cfg.Budget < 0 {
+		cfg.Budget, spare = 0, 0
+	}
+	if cfg.Connections == 0 {
+		cfg.Connections = defaultConnections
+	}
+	if cfg.Reconnects == 0 {
+		cfg.Reconnects = defaultReconnects
+	}
+	if cfg.Seed == 0 {
+		cfg.Seed = uint64(time.Now().UnixNano())
+	}
+	if cfg.Log == nil {
+		cfg.Log = slog.New(slog.DiscardHandler)
+	}
+	if cfg.Connections < 0 || cfg.Reconnects < 0 {
+		return nil, errors.New("desk: connections and reconnects must not be negative")
+	}
+	c := &Client{cfg: cfg, classes: map[string]int{}, log: cfg.Log}
+	p := plan.Config{Schedulers: len(cfg.Schedulers), Budget: cfg.Budget, Spare: spare,
+		Backoff: 50 * time.Millisecond, Longest: time.Second, EjectAfter: 3, Eject: time.Second,
+		EjectMost: 30 * time.Second}
+	for _, name := range slices.Sorted(maps.Keys(cfg.Classes)) {
+		class := cfg.Classes[name]
+		effect, known := effects[class.Effect]
+		switch {
+		case !known:
+			return nil, fmt.Errorf("desk: classes.%s.effect: unknown effect %q", name, class.Effect)
+		case class.Deadline <= 0:
+			return nil, fmt.Errorf("desk: classes.%s.deadline: it must be positive", name)
+		case class.Tries < 0:
+			return nil, fmt.Errorf("desk: classes.%s.tries: it must not be negative", name)
+		case class.Effect == Anywhere && class.Window <= 0:
+			return nil, fmt.Errorf("desk: classes.%s.window: it must be positive", name)
+		case class.Tries == 0:
+			class.Tries = defaultTries
+		}
+		c.classes[name] = len(p.Classes)
+		p.Classes = append(p.Classes, plan.Class{Effect: effect, Window: class.Window, Tries: class.Tries})
+	}
+	var err error
+	if c.plan, err = plan.New(p, cfg.Seed); err != nil {
+		return nil, fmt.Errorf("desk: %w", err)
+	}
+	c.pool = newPool(cfg.Schedulers, cfg.Connections, cfg.Reconnects)
+	return c, nil
+}
+
+// Close closes the connections that idle. Jobs under way go on.
+func (c *Client) Close() { c.pool.close() }
+
+// Do hands a job in and waits for its end. It returns by the job's deadline, with a result
+// or with one of this package's errors; when the context is cancelled, it closes the
+// connection at once, and the error wraps the context's.
+func (c *Client) Do(ctx context.Context, job Job) (*Result, error) {
+	class, known := c.classes[job.Class]
+	switch {
+	case !known:
+		return nil, &Invalid{Text: fmt.Sprintf("unknown class %q", job.Class)}
+	case len(job.Body) > mostBody:
+		return nil, &Invalid{Text: fmt.Sprintf("a body of %d bytes, %d at most", len(job.Body), mostBody)}
+	}
+	deadline := job.Deadline
+	if deadline.IsZero() {
+		deadline = time.Now().Add(c.cfg.Classes[job.Class].Deadline)
+	}
+	if at, set := ctx.Deadline(); set && at.Before(deadline) {
+		deadline = at
+	}
+	c.mu.Lock()
+	planned, step := c.plan.Begin(time.Now(), class, deadline)
+	c.mu.Unlock()
+	ran, tries := false, 0
+	var last outcome
+	for step.Verdict == plan.Pending {
+		if err := rest(ctx, step.At); err != nil {
+			return nil, c.leave(planned, ran, err)
+		}
+		began := time.Now()
+		tries++
+		last = c.try(ctx, &job, step, deadline)
+		ran = ran || last.proof != plan.NotSent
+		if err := ctx.Err(); err != nil && last.proof != plan.Answered && time.Now().Before(deadline) {
+			return nil, c.leave(planned, ran, err)
+		}
+		if last.err != nil {
+			c.log.Info("a try failed", "scheduler", c.cfg.Schedulers[step.Scheduler], "class", job.Class, "error",
+				last.err)
+		}
+		c.mu.Lock()
+		step = c.plan.Ended(time.Now(), began, planned, last.result())
+		c.mu.Unlock()
+	}
+	switch step.Verdict {
+	case plan.Served:
+		return &Result{Body: last.body, Tries: tries}, nil
+	case plan.Refused:
+		return nil, &Refused{After: step.At, Cause: last.err}
+	case plan.Failed:
+		return nil, &Failed{Status: last.status}
+	case plan.Invalid:
+		return nil, &Invalid{Status: last.status, Text: string(last.body)}
+	case plan.Expired:
+		return nil, &Expired{}
+	}
+	return nil, &Unknown{Cause: last.err}
+}
+
+// leave ends a job whose caller has gone.
+func (c *Client) leave(j *plan.Job, ran bool, cause error) error {
+	c.mu.Lock()
+	c.plan.Leave(j)
+	c.mu.Unlock()
+	if ran {
+		return &Unknown{Cause: cause}
+	}
+	return &Refused{After: time.Now(), Cause: cause}
+}
+
+// rest waits until a time, or for the context's end.
+func rest(ctx context.Context, until time.Time) error {
+	wait := time.Until(until)
+	if wait <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// newID makes the id of a try.
+func newID() string {
+	var b [8]byte
+	rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
--- /dev/null
+++ b/desk/desk_test.go
@@ -0,0 +1,368 @@
+package desk
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"dahliaford/internal/http1"
+	"dahliaford/internal/record"
+	"dahliaford/internal/rig"
+	"dahliaford/internal/standin"
+)
+
+// scripted is a scheduler that answers each request with the bytes that a test says, and
+// then does as the last word says: keep, close, reset or silent.
+type scripted struct {
+	net.Listener
+	took atomic.Int64 // requests that were read whole
+	seen chan *http1.Request
+}
+
+func script(t *testing.T, answer func(n int64) (text, then string)) *scripted {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &scripted{Listener: l, seen: make(chan *http1.Request, 1000)}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				for read := http1.NewReader(conn); ; {
+					r, err := read.Request()
+					if err != nil {
+						return
+					}
+					n := s.took.Add(1)
+					s.seen <- r
+					text, then := answer(n)
+					conn.Write([]byte(text))
+					switch then {
+					case "reset":
+						conn.(*net.TCPConn).SetLinger(0)
+						return
+					case "close":
+						return
+					case "silent":
+						read.Request() // until the other side ends
+						return
+					}
+				}
+			}()
+		}
+	}()
+	return s
+}
+
+func client(t *testing.T, schedulers ...string) *Client {
+	t.Helper()
+	c, err := New(Config{Schedulers: schedulers, Tenant: "sahel", Seed: 1, Classes: map[string]Class{
+		"post-reading":   {Deadline: 5 * time.Second, Effect: Once},
+		"district-batch": {Deadline: 20 * time.Second, Effect: Rack},
+		"look":           {Deadline: 5 * time.Second, Effect: Safe, Tries: 3}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Close)
+	return c
+}
+
+const served = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nresult"
+
+// verdictOf names how a job ended.
+func verdictOf(err error) string {
+	var refused *Refused
+	var failed *Failed
+	var unknown *Unknown
+	var invalid *Invalid
+	var expired *Expired
+	switch {
+	case err == nil:
+		return "served"
+	case errors.As(err, &refused):
+		return "refused"
+	case errors.As(err, &failed):
+		return "failed"
+	case errors.As(err, &unknown):
+		return "unknown"
+	case errors.As(err, &invalid):
+		return "invalid"
+	case errors.As(err, &expired):
+		return "expired"
+	}
+	return err.Error()
+}
+
+// An answer that is lost at every byte: a job that must not run twice is handed in once.
+func TestAnswerLostAtEveryByte(t *testing.T) {
+	for cut := range len(served) + 1 {
+		for _, then := range []string{"reset", "close"} {
+			s := script(t, func(int64) (string, string) { return served[:cut], then })
+			c := client(t, s.Addr().String())
+			result, err := c.Do(t.Context(), Job{Class: "post-reading", Body: []byte("x")})
+			want := "unknown"
+			if cut == len(served) {
+				want = "served"
+			}
+			// A reset may overtake what was written before it.
+			if got := verdictOf(err); got != want && !(then == "reset" && got == "unknown") {
+				t.Errorf("cut after %d bytes, %s: %s, want %s (%v)", cut, then, got, want, err)
+			}
+			if err == nil && string(result.Body) != "result" {
+				t.Errorf("cut after %d bytes: %q", cut, result.Body)
+			}
+			if n := s.took.Load(); n != 1 {
+				t.Errorf("cut after %d bytes, %s: handed in %d times", cut, then, n)
+			}
+		}
+	}
+}
+
+// Broken answers end in time, and never as served.
+func TestBrokenAnswers(t *testing.T) {
+	for name, c := range map[string]struct{ text, want string }{
+		"no length":    {"HTTP/1.1 200 OK\r\n\r\nresult", "unknown"},
+		"garbage":      {"result\r\n\r\n", "unknown"},
+		"a giant head": {"HTTP/1.1 200 OK\r\nX: " + strings.Repeat("x", 64<<10) + "\r\n\r\n", "unknown"},
+		"a giant body": {"HTTP/1.1 200 OK\r\nContent-Length: 99999999\r\n\r\n", "unknown"},
+		"two lengths": {"HTTP/1.1 200 OK\r\nContent-Length: 6\r\nContent-Length: 5\r\n\r\nresult",
+			"unknown"},
+		"interim without end": {strings.Repeat("HTTP/1.1 100 Continue\r\n\r\n", 50), "unknown"},
+		"interim, then final": {"HTTP/1.1 100 Continue\r\n\r\n" + served, "served"},
+		"truncated":           {"HTTP/1.1 200 OK\r\nContent-Length: 60\r\n\r\nresult", "unknown"},
+		"500":                 {"HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", "failed"},
+		"302":                 {"HTTP/1.1 302 No\r\nContent-Length: 0\r\n\r\n", "failed"},
+		"400":                 {"HTTP/1.1 400 No\r\nContent-Length: 3\r\n\r\nwhy", "invalid"},
+		"chunked": {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n6\r\nresult\r\n0\r\n\r\n",
+			"served"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := script(t, func(int64) (string, string) { return c.text, "close" })
+			_, err := client(t, s.Addr().String()).Do(t.Context(), Job{Class: "post-reading"})
+			if got := verdictOf(err); got != c.want || s.took.Load() != 1 {
+				t.Errorf("%s (%v) after %d requests, want %s", got, err, s.took.Load(), c.want)
+			}
+		})
+	}
+}
+
+// A refusal is honoured: the next try comes no sooner, with a new id and marked, and the
+// last refusal goes to the caller.
+func TestRefusals(t *testing.T) {
+	s := script(t, func(n int64) (string, string) {
+		if n < 3 {
+			return "HTTP/1.1 503 Busy\r\nRetry-After: 0.05\r\nContent-Length: 0\r\n\r\n", "keep"
+		}
+		return served, "keep"
+	})
+	began := time.Now()
+	r, err := client(t, s.Addr().String()).Do(t.Context(), Job{Class: "post-reading", Key: "k"})
+	if err != nil || r.Tries != 3 || time.Since(began) < 100*time.Millisecond {
+		t.Fatalf("%+v, %v after %v", r, err, time.Since(began))
+	}
+	ids := map[string]bool{}
+	for n := range 3 {
+		m := <-s.seen
+		ids[m.Header.Get("X-Txn")] = true
+		want := map[bool]string{true: "1"}[n > 0]
+		if diff := cmp.Diff([]string{want, "k", "sahel"}, []string{m.Header.Get("X-Resent"),
+			m.Header.Get("Idempotency-Key"), m.Header.Get("X-Org")}); diff != "" {
+			t.Errorf("try %d: %s", n+1, diff)
+		}
+	}
+	if len(ids) != 3 {
+		t.Errorf("%d ids in 3 tries", len(ids))
+	}
+	var refused *Refused
+	never := script(t, func(int64) (string, string) {
+		return "HTTP/1.1 503 Busy\r\nRetry-After: 0.01\r\nContent-Length: 0\r\n\r\n", "keep"
+	})
+	_, err = client(t, never.Addr().String()).Do(t.Context(), Job{Class: "post-reading"})
+	if !errors.As(err, &refused) || never.took.Load() != 3 {
+		t.Errorf("%v after %d tries", err, never.took.Load())
+	}
+}
+
+// Nobody listens: the job did not run, another scheduler gets it, and without one the
+// caller may hand it in again.
+func TestNobodyListens(t *testing.T) {
+	dead, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	dead.Close()
+	if _, err := client(t, dead.Addr().String()).Do(t.Context(),
+		Job{Class: "post-reading"}); verdictOf(err) != "refused" {
+		t.Error(err)
+	}
+	s := script(t, func(int64) (string, string) { return served, "keep" })
+	c := client(t, dead.Addr().String(), s.Addr().String())
+	for range 30 {
+		if _, err := c.Do(t.Context(), Job{Class: "post-reading"}); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+// A kept connection that ends as the next request crosses it: for what must not run twice
+// nobody can say, and what is safe is repeated.
+func TestKeptConnectionEnds(t *testing.T) {
+	for class, want := range map[string]string{"post-reading": "unknown", "district-batch": "unknown",
+		"look": "served"} {
+		s := script(t, func(n int64) (string, string) {
+			if n == 2 {
+				return "", "reset"
+			}
+			return served, "keep"
+		})
+		c := client(t, s.Addr().String())
+		if _, err := c.Do(t.Context(), Job{Class: class}); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := c.Do(t.Context(), Job{Class: class}); verdictOf(err) != want {
+			t.Errorf("%s: %v, want %s", class, err, want)
+		}
+	}
+}
+
+// A scheduler that says nothing: the caller has its end by the deadline. A caller that
+// leaves closes the connection at once.
+func TestSilence(t *testing.T) {
+	s := script(t, func(int64) (string, string) { return "", "silent" })
+	c := client(t, s.Addr().String())
+	deadline := time.Now().Add(200 * time.Millisecond)
+	_, err := c.Do(t.Context(), Job{Class: "post-reading", Deadline: deadline})
+	if late := time.Since(deadline); verdictOf(err) != "unknown" || late < 0 || late > 2*time.Second {
+		t.Errorf("%v, %v after the deadline", err, late)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-s.seen
+		<-s.seen
+		cancel()
+	}()
+	began := time.Now()
+	_, err = c.Do(ctx, Job{Class: "post-reading"})
+	if verdictOf(err) != "unknown" || !errors.Is(err, context.Canceled) || time.Since(began) > 4*time.Second {
+		t.Errorf("%v after %v", err, time.Since(began))
+	}
+	_, err = c.Do(t.Context(), Job{Class: "post-reading", Deadline: time.Now().Add(-time.Second)})
+	if verdictOf(err) != "expired" {
+		t.Error(err)
+	}
+}
+
+func TestWrongJobsAndSettings(t *testing.T) {
+	c := client(t, "127.0.0.1:1")
+	for _, job := range []Job{{Class: "nothing"}, {Class: "look", Body: make([]byte, 65<<10)}} {
+		if _, err := c.Do(t.Context(), job); verdictOf(err) != "invalid" {
+			t.Error(err)
+		}
+	}
+	good := Class{Deadline: time.Second, Effect: Once}
+	for want, cfg := range map[string]Config{
+		"schedulers":         {Classes: map[string]Class{"a": good}},
+		"classes: none":      {Schedulers: []string{"x"}},
+		"classes.a.effect":   {Schedulers: []string{"x"}, Classes: map[string]Class{"a": {Deadline: 1}}},
+		"classes.a.deadline": {Schedulers: []string{"x"}, Classes: map[string]Class{"a": {Effect: Once}}},
+		"classes.a.tries": {Schedulers: []string{"x"}, Classes: map[string]Class{"a": {Deadline: 1,
+			Effect: Once, Tries: -1}}},
+		"classes.a.window": {Schedulers: []string{"x"}, Classes: map[string]Class{"a": {Deadline: 1,
+			Effect: Anywhere}}},
+		"budget":      {Schedulers: []string{"x"}, Classes: map[string]Class{"a": good}, Budget: 2},
+		"connections": {Schedulers: []string{"x"}, Classes: map[string]Class{"a": good}, Connections: -1},
+	} {
+		if _, err := New(cfg); err == nil || !strings.HasPrefix(err.Error(), "desk: "+want) {
+			t.Errorf("got %v, want %s", err, want)
+		}
+	}
+}
+
+// Desks against the real program: what is served is what the region made, nothing that must
+// not run twice does, and every call returns once.
+func TestAgainstTheRealProgram(t *testing.T) {
+	bin := filepath.Join(t.TempDir(), "dahliaford")
+	build := exec.Command("go", "build", "-o", bin, "./cmd/dahliaford")
+	build.Dir = ".."
+	if out, err := build.CombinedOutput(); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	var mu sync.Mutex
+	runs := map[string]int{}
+	var addr atomic.Value
+	addr.Store("127.0.0.1:1")
+	region, err := standin.NewRegion("s-1", "127.0.0.1:0", func() string { return addr.Load().(string) },
+		func(j standin.Job) standin.Plan {
+			mu.Lock()
+			defer mu.Unlock()
+			runs[string(j.Body)]++
+			if len(runs)%7 == 0 {
+				return standin.Plan{Status: 500}
+			}
+			return standin.Plan{Run: time.Millisecond}
+		}, func(record.Event) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer region.Close()
+	discovery, err := standin.NewDiscovery("127.0.0.1:0", standin.Line{UID: "s-1", Endpoint: region.Addr(),
+		Zone: "north", Model: "m1", State: "ready"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer discovery.Close()
+	p, err := rig.Start(bin, t.TempDir(), "n0", discovery.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer p.Kill()
+	addr.Store(p.Addr)
+	c, err := New(Config{Schedulers: []string{p.Addr}, Tenant: "sahel", Classes: map[string]Class{
+		"post-reading": {Deadline: 2 * time.Second, Effect: Once}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	var done sync.WaitGroup
+	ends := map[string]int{}
+	for n := range 60 {
+		done.Go(func() {
+			body := fmt.Sprintf("job %d", n)
+			r, err := c.Do(t.Context(), Job{Class: "post-reading", Body: []byte(body)})
+			mu.Lock()
+			defer mu.Unlock()
+			ends[verdictOf(err)]++
+			if err == nil && string(r.Body) != strings.ToUpper(body) {
+				t.Errorf("%s was served %q", body, r.Body)
+			}
+		})
+		time.Sleep(5 * time.Millisecond)
+	}
+	done.Wait()
+	for body, n := range runs {
+		if n > 1 {
+			t.Errorf("%s came to the region %d times", body, n)
+		}
+	}
+	if ends["served"] < 10 {
+		t.Errorf("%v", ends)
+	}
+	t.Log(ends)
+}
--- /dev/null
+++ b/desk/internal/plan/plan.go
@@ -0,0 +1,351 @@
+// Package plan decides for a desk: what to do with a job after each try, at which
+// scheduler and when the next one starts, and when to give up. It has no I/O and no clock:
+// what happened goes in with its time, what to do comes out. Package desk carries it out.
+package plan
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"time"
+)
+
+// Effect says what may be done once a try may have run.
+type Effect uint8
+
+// The effects. Rack: repeats are dropped within one rack only, and a desk cannot say which
+// rack a repeat goes to, so for a desk it is as strict as Once.
+const (
+	Once     Effect = iota // must never run twice
+	Rack                   // repeats are dropped within a rack
+	Anywhere               // repeats are dropped everywhere, within the window
+	Safe                   // may be repeated at will
+)
+
+// Class is a class of jobs.
+type Class struct {
+	Effect Effect
+	Window time.Duration // for Anywhere: how long repeats are dropped, from the first try on
+	Tries  int           // at most, the first one included
+}
+
+// Config is what a desk is told.
+type Config struct {
+	Schedulers int     // how many there are; they are numbered from 0
+	Classes    []Class // by number
+	// Budget is the share of fresh jobs that retries may amount to, and Spare how many may
+	// be saved up. When it is used up, a caller gets the refusal at once.
+	Budget float64
+	Spare  float64
+	// Backoff is the first wait after a refusal that names none, doubling up to Longest.
+	Backoff, Longest time.Duration
+	// EjectAfter failures in a row set a scheduler aside, for Eject, doubling up to
+	// EjectMost. Never more than half of them are.
+	EjectAfter       int
+	Eject, EjectMost time.Duration
+}
+
+// LongestAdvice bounds what a scheduler may say about when to come back: an absurd figure is
+// an error somewhere, not a reason to hold a job for a day.
+const LongestAdvice = time.Minute
+
+// Proof says how a try ended, by what it proves about the job.
+type Proof uint8
+
+// The proofs.
+const (
+	Answered Proof = iota // there is a whole answer: see Status
+	// NotSent: the connection was refused, never came up, or broke before the last byte of
+	// the request was out. Nobody has taken the job.
+	NotSent
+	// Crossed: a kept connection ended with no byte of an answer. The scheduler may have
+	// closed it between requests, before it read this one; or it took the job and died. The
+	// two cannot be told apart, so for what must never run twice this is as Lost.
+	Crossed
+	Lost    // the request was out, and no whole answer came
+	Garbled // what came is no answer: its framing is broken, or it is too large
+)
+
+// Result is the end of a try.
+type Result struct {
+	Proof  Proof
+	Status int
+	// Advice is when the scheduler said to come back, counted from the answer; with Advised.
+	Advised bool
+	Advice  time.Duration
+}
+
+// Verdict is the end of a job.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Pending Verdict = iota // not over: try again
+	Served
+	Refused // it did not run; Step.At says when to come back, if anybody knows
+	Failed  // it may have run, and failed
+	Unknown // it may have run; nobody can say
+	Invalid // the submission makes no sense
+	Expired // no time is left for a try, and none may have run
+)
+
+// Step is what to do next. With Pending: start a try at the scheduler, at that time.
+type Step struct {
+	Verdict   Verdict
+	Scheduler int
+	At        time.Time
+	Resent    bool
+}
+
+// Job is one job from its arrival to its verdict. It belongs to whoever began it.
+type Job struct {
+	class    *Class
+	deadline time.Time
+	tries    int
+	first    time.Time // when the first try started that may have run; zero: none may have
+	at       int       // the scheduler of the present try
+	over     bool
+}
+
+// Plan holds what a desk knows of its schedulers, and its budget. It is not safe for
+// several goroutines: its owner calls it one event at a time.
+type Plan struct {
+	cfg    Config
+	random *rand.Rand
+	tokens float64
+	scheds []sched
+}
+
+type sched struct {
+	open    int // tries under way
+	fails   int // in a row
+	ejected time.Duration
+	until   time.Time // set aside until then; zero: it is well
+	trial   bool      // it was set aside, and one try finds out whether it is back
+}
+
+// New returns a plan. The seed decides all that is left to chance.
+func New(cfg Config, seed uint64) (*Plan, error) {
+	switch {
+	case cfg.Schedulers <= 0:
+		return nil, errors.New("schedulers: none is named")
+	case len(cfg.Classes) == 0:
+		return nil, errors.New("classes: none is named")
+	case !(cfg.Budget >= 0 && cfg.Budget <= 1):
+		return nil, fmt.Errorf("budget: %v is not within 0 and 1", cfg.Budget)
+	case !(cfg.Spare >= 0):
+		return nil, fmt.Errorf("spare: %v is negative", cfg.Spare)
+	case cfg.Backoff <= 0 || cfg.Longest < cfg.Backoff:
+		return nil, errors.New("backoff: it must be positive, and no longer than the longest")
+	case cfg.EjectAfter <= 0 || cfg.Eject <= 0 || cfg.EjectMost < cfg.Eject:
+		return nil, errors.New("eject: its figures must be positive, and its time no longer than the longest")
+	}
+	for i, c := range cfg.Classes {
+		switch {
+		case c.Tries <= 0:
+			return nil, fmt.Errorf("classes[%d].tries: %d is not positive", i, c.Tries)
+		case c.Effect > Safe:
+			return nil, fmt.Errorf("classes[%d].effect: unknown", i)
+		case c.Effect == Anywhere && c.Window <= 0:
+			return nil, fmt.Errorf("classes[%d].window: it must be positive", i)
+		}
+	}
+	return &Plan{cfg: cfg, random: rand.New(rand.NewPCG(seed, 0)), tokens: cfg.Spare,
+		scheds: make([]sched, cfg.Schedulers)}, nil
+}
+
+// Begin takes a new job. Its deadline is set here once and for all.
+func (p *Plan) Begin(now time.Time, class int, deadline time.Time) (*Job, Step) {
+	p.tokens = min(p.tokens+p.cfg.Budget, p.cfg.Spare)
+	j := &Job{class: &p.cfg.Classes[class], deadline: deadline}
+	if !now.Before(deadline) {
+		return j, p.finish(j, Step{Verdict: Expired})
+	}
+	return j, p.start(j, now)
+}
+
+// start picks a scheduler for a try that begins at a time. The owner begins it then, or
+// calls Leave.
+func (p *Plan) start(j *Job, at time.Time) Step {
+	j.at = p.pick(at)
+	j.tries++
+	p.scheds[j.at].open++
+	return Step{Scheduler: j.at, At: at, Resent: j.tries > 1}
+}
+
+func (p *Plan) finish(j *Job, s Step) Step {
+	j.over = true
+	return s
+}
+
+// Leave ends a job whose caller has gone, with a try under way or waiting to begin.
+func (p *Plan) Leave(j *Job) {
+	if !j.over {
+		j.over = true
+		p.release(j.at)
+	}
+}
+
+func (p *Plan) release(i int) {
+	p.scheds[i].open--
+	p.scheds[i].trial = false
+}
+
+// Ended takes the end of a try that began at a time, and says what is next.
+func (p *Plan) Ended(now, began time.Time, j *Job, r Result) Step {
+	if j.over {
+		return Step{Verdict: Unknown}
+	}
+	p.judge(now, j.at, r)
+	p.release(j.at)
+	ran := mayHaveRun(r)
+	if ran && j.first.IsZero() {
+		j.first = began
+	}
+	switch {
+	case r.Proof == Answered && r.Status == 200:
+		return p.finish(j, Step{Verdict: Served})
+	case r.Proof == Answered && r.Status >= 400 && r.Status < 500 && r.Status != 429:
+		return p.finish(j, Step{Verdict: Invalid})
+	}
+	end := verdict(r)
+	if !j.first.IsZero() && end == Refused {
+		end = Unknown // this try did not run; an earlier one may have
+	}
+	back := p.comeBack(now, j, r)
+	if s, again := p.again(now, j, r, back); again {
+		return s
+	}
+	return p.finish(j, Step{Verdict: end, At: back})
+}
+
+// again tells whether a job gets another try, and plans it.
+func (p *Plan) again(now time.Time, j *Job, r Result, at time.Time) (Step, bool) {
+	switch {
+	case j.tries >= j.class.Tries, !at.Before(j.deadline), p.tokens < 1, !mayRepeat(j, at):
+		return Step{}, false
+	}
+	p.tokens--
+	return p.start(j, at), true
+}
+
+// mayRepeat tells whether what is known of a job allows a try at a time.
+func mayRepeat(j *Job, at time.Time) bool {
+	if j.first.IsZero() {
+		return true
+	}
+	switch j.class.Effect {
+	case Safe:
+		return true
+	case Anywhere:
+		return at.Sub(j.first) < j.class.Window
+	}
+	return false
+}
+
+// mayHaveRun tells what the end of a try leaves open.
+func mayHaveRun(r Result) bool {
+	switch r.Proof {
+	case NotSent:
+		return false
+	case Answered:
+		return r.Status != 429 && r.Status != 503 && !(r.Status >= 400 && r.Status < 500)
+	}
+	return true
+}
+
+// verdict is what the end of a try means for a job that gets no further one.
+func verdict(r Result) Verdict {
+	switch r.Proof {
+	case Answered:
+		if r.Status == 429 || r.Status == 503 {
+			return Refused
+		}
+		return Failed
+	case NotSent:
+		return Refused // nobody took it: a repeat is harmless
+	}
+	return Unknown
+}
+
+// comeBack is when a next try may begin: never before the scheduler's advice, and spread
+// beyond it, as all that were refused together would come back together.
+func (p *Plan) comeBack(now time.Time, j *Job, r Result) time.Time {
+	limit := p.cfg.Backoff
+	for range j.tries - 1 {
+		limit = min(2*limit, p.cfg.Longest)
+	}
+	jitter := time.Duration(p.random.Float64() * float64(limit))
+	if r.Proof == Answered && r.Advised && r.Advice >= 0 {
+		return now.Add(min(r.Advice, LongestAdvice) + jitter)
+	}
+	return now.Add(jitter)
+}
+
+// ---- Schedulers
+
+// judge draws from the end of a try what it tells of its scheduler. A refusal is the word
+// of one that is well.
+func (p *Plan) judge(now time.Time, i int, r Result) {
+	s := &p.scheds[i]
+	if r.Proof == Answered {
+		s.fails, s.ejected, s.until = 0, 0, time.Time{}
+		return
+	}
+	s.fails++
+	if s.fails < p.cfg.EjectAfter && !s.trial {
+		return
+	}
+	if s.until.IsZero() && 2*(p.aside(now)+1) > len(p.scheds) {
+		return // more than half look ill: the evidence is at fault, or there is nowhere else
+	}
+	s.ejected = min(max(2*s.ejected, p.cfg.Eject), p.cfg.EjectMost)
+	spread := time.Duration(p.random.Float64() * float64(s.ejected) / 4)
+	s.until = now.Add(s.ejected + spread)
+}
+
+// aside counts the schedulers that are set aside.
+func (p *Plan) aside(now time.Time) int {
+	n := 0
+	for i := range p.scheds {
+		if !p.scheds[i].until.IsZero() {
+			n++
+		}
+	}
+	return n
+}
+
+// pick takes the less busy of two that are drawn from those that are well. One whose time
+// aside is over gets a single try first.
+func (p *Plan) pick(at time.Time) int {
+	var well []int
+	for i := range p.scheds {
+		s := &p.scheds[i]
+		switch {
+		case s.until.IsZero():
+			well = append(well, i)
+		case !at.Before(s.until) && !s.trial:
+			s.trial = true
+			return i
+		}
+	}
+	if len(well) == 0 {
+		for i := range p.scheds {
+			well = append(well, i)
+		}
+	}
+	a, b := well[p.random.IntN(len(well))], well[p.random.IntN(len(well))]
+	if p.scheds[b].open < p.scheds[a].open {
+		return b
+	}
+	return a
+}
+
+// Open is the number of tries that are planned or under way.
+func (p *Plan) Open() int {
+	n := 0
+	for i := range p.scheds {
+		n += p.scheds[i].open
+	}
+	return n
+}
--- /dev/null
+++ b/desk/internal/plan/plan_test.go
@@ -0,0 +1,318 @@
+package plan
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+const (
+	post = iota
+	batch
+	keyed
+	safe
+)
+
+func config() Config {
+	return Config{Schedulers: 3, Budget: 0.1, Spare: 10, Backoff: 50 * time.Millisecond, Longest: time.Second,
+		EjectAfter: 3, Eject: time.Second, EjectMost: 30 * time.Second,
+		Classes: []Class{{Effect: Once, Tries: 3}, {Effect: Rack, Tries: 3},
+			{Effect: Anywhere, Window: time.Second, Tries: 3}, {Effect: Safe, Tries: 3}}}
+}
+
+var start = time.Unix(1000, 0)
+
+func newPlan(t testing.TB, cfg Config) *Plan {
+	t.Helper()
+	p, err := New(cfg, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// What a try's end means for each class: another try, or which verdict.
+func TestEnds(t *testing.T) {
+	again := [4]Verdict{Pending, Pending, Pending, Pending}
+	for _, c := range []struct {
+		name string
+		end  Result
+		want [4]Verdict // post, batch, keyed, safe
+	}{
+		{"served", Result{Status: 200}, [4]Verdict{Served, Served, Served, Served}},
+		{"refused", Result{Status: 503}, again},
+		{"refused with another status", Result{Status: 429}, again},
+		{"failed", Result{Status: 500}, [4]Verdict{Failed, Failed, Pending, Pending}},
+		{"an answer that nobody gives", Result{Status: 302}, [4]Verdict{Failed, Failed, Pending, Pending}},
+		{"invalid", Result{Status: 400}, [4]Verdict{Invalid, Invalid, Invalid, Invalid}},
+		{"a conflict", Result{Status: 409}, [4]Verdict{Invalid, Invalid, Invalid, Invalid}},
+		{"nobody listens, or half written", Result{Proof: NotSent}, again},
+		{"a kept connection ended", Result{Proof: Crossed}, [4]Verdict{Unknown, Unknown, Pending, Pending}},
+		{"the answer is lost", Result{Proof: Lost}, [4]Verdict{Unknown, Unknown, Pending, Pending}},
+		{"the answer is garbage", Result{Proof: Garbled}, [4]Verdict{Unknown, Unknown, Pending, Pending}},
+	} {
+		var got [4]Verdict
+		for class := range got {
+			p := newPlan(t, config())
+			j, s := p.Begin(start, class, start.Add(5*time.Second))
+			if s.Verdict != Pending || s.Resent || !s.At.Equal(start) {
+				t.Fatalf("the first try: %+v", s)
+			}
+			s = p.Ended(start.Add(time.Millisecond), start, j, c.end)
+			got[class] = s.Verdict
+			if open := p.Open(); (s.Verdict == Pending) != (open == 1) {
+				t.Errorf("%s: %d tries are open after %v", c.name, open, s.Verdict)
+			}
+			if s.Verdict == Pending && !s.Resent {
+				t.Errorf("%s: a retry is not marked", c.name)
+			}
+		}
+		if diff := cmp.Diff(c.want, got); diff != "" {
+			t.Errorf("%s: %s", c.name, diff)
+		}
+	}
+}
+
+// A refusal after a try that may have run proves nothing about that one.
+func TestARefusalLaterIsNoProof(t *testing.T) {
+	cfg := config()
+	cfg.Classes[keyed].Tries = 2
+	p := newPlan(t, cfg)
+	j, _ := p.Begin(start, keyed, start.Add(5*time.Second))
+	if s := p.Ended(start, start, j, Result{Proof: Lost}); s.Verdict != Pending {
+		t.Fatal(s)
+	}
+	if s := p.Ended(start, start, j, Result{Status: 503}); s.Verdict != Unknown {
+		t.Errorf("got %+v, want Unknown", s)
+	}
+}
+
+// Advice is a minimum, whatever it says; without any, waits are bounded and spread.
+func TestWhenToComeBack(t *testing.T) {
+	for _, c := range []struct {
+		name        string
+		end         Result
+		least, most time.Duration
+	}{
+		{"at once", Result{Status: 503, Advised: true}, 0, 50 * time.Millisecond},
+		{"a moment", Result{Status: 503, Advised: true, Advice: 50 * time.Millisecond}, 50 * time.Millisecond,
+			100 * time.Millisecond},
+		{"two seconds", Result{Status: 503, Advised: true, Advice: 2 * time.Second}, 2 * time.Second,
+			2050 * time.Millisecond},
+		{"absurd", Result{Status: 503, Advised: true, Advice: 1 << 60}, LongestAdvice,
+			LongestAdvice + 50*time.Millisecond},
+		{"negative", Result{Status: 503, Advised: true, Advice: -time.Hour}, 0, 50 * time.Millisecond},
+		{"none", Result{Status: 503}, 0, 50 * time.Millisecond},
+	} {
+		seen := map[time.Duration]bool{}
+		for range 50 {
+			p := newPlan(t, config())
+			p.random.Uint64()
+			for range len(seen) {
+				p.random.Float64()
+			}
+			j, _ := p.Begin(start, post, start.Add(time.Hour))
+			s := p.Ended(start, start, j, c.end)
+			wait := s.At.Sub(start)
+			if s.Verdict != Pending || wait < c.least || wait > c.most {
+				t.Fatalf("%s: %v after %v, want %v to %v", c.name, s.Verdict, wait, c.least, c.most)
+			}
+			seen[wait] = true
+		}
+		if len(seen) < 10 {
+			t.Errorf("%s: the waits are not spread: %v", c.name, seen)
+		}
+	}
+}
+
+// Refusals may wear the budget out: then a caller gets its refusal at once, and the time to
+// come back with it. Fresh jobs earn it again.
+func TestBudget(t *testing.T) {
+	p := newPlan(t, config())
+	retries := 0
+	for range 1000 {
+		j, s := p.Begin(start, safe, start.Add(time.Hour))
+		for s.Verdict == Pending {
+			s = p.Ended(start, start, j, Result{Status: 503, Advised: true, Advice: time.Second})
+			if s.Verdict == Pending {
+				retries++
+			} else if s.Verdict != Refused || s.At.Before(start.Add(time.Second)) {
+				t.Fatalf("%+v", s)
+			}
+		}
+	}
+	if retries < 100 || retries > 110 {
+		t.Errorf("1,000 refused jobs had %d retries, want a tenth and the ten that were spare", retries)
+	}
+}
+
+// A scheduler that fails is set aside, at most half of them are, and one try finds out
+// whether it is back.
+func TestEjection(t *testing.T) {
+	cfg := config()
+	cfg.Spare = 1000
+	p := newPlan(t, cfg)
+	for p.scheds[0].until.IsZero() {
+		j, s := p.Begin(start, safe, start.Add(time.Hour))
+		end := Result{Status: 200}
+		if s.Scheduler == 0 {
+			end = Result{Proof: NotSent}
+		}
+		p.Ended(start, start, j, end)
+		p.Leave(j)
+	}
+	for range 100 {
+		j, s := p.Begin(start, safe, start.Add(time.Hour))
+		if s.Scheduler == 0 {
+			t.Fatal("a scheduler that is set aside was picked")
+		}
+		p.Leave(j)
+	}
+	later := start.Add(2 * time.Second)
+	trials := 0
+	var trial *Job
+	for range 100 {
+		j, s := p.Begin(later, safe, later.Add(time.Hour))
+		if s.Scheduler == 0 {
+			trials++
+			trial = j
+		}
+	}
+	if trials != 1 {
+		t.Errorf("%d trials at once", trials)
+	}
+	p.Ended(later, later, trial, Result{Status: 503}) // a refusal is the word of one that is well
+	if !p.scheds[0].until.IsZero() {
+		t.Error("it is still set aside")
+	}
+	for i := range p.scheds {
+		for range 5 {
+			p.judge(later, i, Result{Proof: NotSent})
+		}
+	}
+	if n := p.aside(later); n != 1 {
+		t.Errorf("%d of 3 are set aside, want at most half", n)
+	}
+}
+
+func TestSettingsThatMakeNoSense(t *testing.T) {
+	for want, spoil := range map[string]func(*Config){
+		"schedulers":        func(c *Config) { c.Schedulers = 0 },
+		"classes: none":     func(c *Config) { c.Classes = nil },
+		"budget":            func(c *Config) { c.Budget = 1.5 },
+		"spare":             func(c *Config) { c.Spare = -1 },
+		"backoff":           func(c *Config) { c.Longest = time.Millisecond },
+		"eject":             func(c *Config) { c.EjectAfter = 0 },
+		"classes[0].tries":  func(c *Config) { c.Classes[0].Tries = 0 },
+		"classes[1].effect": func(c *Config) { c.Classes[1].Effect = 9 },
+		"classes[2].window": func(c *Config) { c.Classes[2].Window = 0 },
+	} {
+		cfg := config()
+		spoil(&cfg)
+		if _, err := New(cfg, 1); err == nil || !strings.HasPrefix(err.Error(), want) {
+			t.Errorf("got %v, want %s", err, want)
+		}
+	}
+}
+
+// Whatever happens: no try starts at or past its deadline, none beyond the class's number,
+// nothing that may have run is repeated unless its class allows it, retries keep to the
+// budget, and nothing stays open.
+func TestProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cfg := config()
+		cfg.Schedulers = rapid.IntRange(1, 4).Draw(t, "schedulers")
+		p, err := New(cfg, rapid.Uint64().Draw(t, "seed"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		type life struct {
+			job      *Job
+			class    int
+			deadline time.Time
+			began    time.Time
+			tries    int
+			ran      time.Time
+		}
+		now, fresh, retries := start, 0, 0
+		var open []*life
+		take := func(l *life, s Step) bool {
+			if s.Verdict != Pending {
+				return false
+			}
+			l.tries++
+			l.began = s.At
+			class := cfg.Classes[l.class]
+			switch {
+			case !s.At.Before(l.deadline):
+				t.Fatalf("a try starts %v past its deadline", s.At.Sub(l.deadline))
+			case s.At.Before(now):
+				t.Fatal("a try starts in the past")
+			case l.tries > class.Tries:
+				t.Fatalf("try %d", l.tries)
+			case s.Resent != (l.tries > 1):
+				t.Fatal("a retry is marked wrongly")
+			case s.Scheduler < 0 || s.Scheduler >= cfg.Schedulers:
+				t.Fatalf("scheduler %d", s.Scheduler)
+			}
+			if !l.ran.IsZero() && (class.Effect <= Rack || class.Effect == Anywhere &&
+				s.At.Sub(l.ran) >= class.Window) {
+				t.Fatalf("a job of effect %d that may have run is tried again", class.Effect)
+			}
+			if l.tries > 1 {
+				retries++
+			}
+			return true
+		}
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			if n := rapid.IntRange(0, len(open)).Draw(t, "which"); n == len(open) {
+				l := &life{class: rapid.IntRange(0, 3).Draw(t, "class")}
+				l.deadline = now.Add(time.Duration(rapid.IntRange(-1, 3000).Draw(t, "within")) * time.Millisecond)
+				fresh++
+				var s Step
+				if l.job, s = p.Begin(now, l.class, l.deadline); take(l, s) {
+					open = append(open, l)
+				}
+				continue
+			} else if l := open[n]; rapid.IntRange(0, 9).Draw(t, "leave") == 0 {
+				p.Leave(l.job)
+				open = append(open[:n:n], open[n+1:]...)
+			} else {
+				now = latest(now, l.began)
+				r := Result{Proof: Proof(rapid.IntRange(0, int(Garbled)).Draw(t, "proof"))}
+				if r.Proof == Answered {
+					r.Status = rapid.SampledFrom([]int{200, 503, 503, 429, 500, 400, 302}).Draw(t, "status")
+					r.Advised = rapid.Bool().Draw(t, "advised")
+					r.Advice = time.Duration(rapid.Int64().Draw(t, "advice"))
+				}
+				if mayHaveRun(r) && l.ran.IsZero() {
+					l.ran = l.began
+				}
+				s := p.Ended(now, l.began, l.job, r)
+				if s.Verdict == Refused && !l.ran.IsZero() {
+					t.Fatal("called refused though it may have run")
+				}
+				if !take(l, s) {
+					open = append(open[:n:n], open[n+1:]...)
+				}
+			}
+		}
+		if most := cfg.Spare + cfg.Budget*float64(fresh); float64(retries) > most {
+			t.Fatalf("%d retries of %d jobs, at most %v", retries, fresh, most)
+		}
+		if p.Open() != len(open) {
+			t.Fatalf("%d tries are open, the plan counts %d", len(open), p.Open())
+		}
+	})
+}
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
