--- a/desk/bench_test.go
+++ b/desk/bench_test.go
@@ -46,7 +46,8 @@
 		defer c.Close()
 		b.ReportAllocs()
 		for b.Loop() {
-			if _, err := c.Do(b.Context(), Job{Class: "post-reading", Object: "17", Body: []byte("4211")}); err != nil {
+			if _, err := c.Do(b.Context(), Job{Class: "post-reading", Object: "17",
+				Body: []byte("4211")}); err != nil {
 				b.Fatal(err)
 			}
 		}
