--- a/desk/config.go
+++ b/desk/config.go
@@ -65,8 +65,9 @@
 	if err := json.Unmarshal(raw, &f); err != nil {
 		return Config{}, fmt.Errorf("desk: %w", err)
 	}
-	cfg := Config{Schedulers: f.Schedulers, Tenant: f.Tenant, Connections: f.Connections, Reconnects: f.Reconnects,
-		Classes: map[string]Class{}}
+	cfg := Config{Schedulers: f.Schedulers, Tenant: f.Tenant, Connections: f.Connections,
+		Reconnects: f.Reconnects,
+		Classes:    map[string]Class{}}
 	if f.Budget != nil {
 		if cfg.Budget = *f.Budget; cfg.Budget == 0 {
 			cfg.Budget = -1 // none, and not the default
--- a/desk/config_test.go
+++ b/desk/config_test.go
@@ -18,9 +18,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	want := Config{Schedulers: []string{"127.0.0.1:8443"}, Tenant: "sahel", Budget: 0.1, Classes: map[string]Class{
-		"post-reading":   {Deadline: 5 * time.Second, Effect: Once, Tries: 3},
-		"district-batch": {Deadline: 20 * time.Second, Effect: Rack, Tries: 3}}}
+	want := Config{Schedulers: []string{"127.0.0.1:8443"}, Tenant: "sahel", Budget: 0.1,
+		Classes: map[string]Class{
+			"post-reading":   {Deadline: 5 * time.Second, Effect: Once, Tries: 3},
+			"district-batch": {Deadline: 20 * time.Second, Effect: Rack, Tries: 3}}}
 	if diff := cmp.Diff(want, got); diff != "" {
 		t.Error(diff)
 	}
