Drill the desks' library against two real schedulers, one killed half way

Need: the library's tests meet one scheduler at a time; what it does when one of several vanishes under load had not been seen.

--- a/cmd/dahlialab/drill.go
+++ b/cmd/dahlialab/drill.go
@@ -37,6 +37,7 @@
 var drills = map[string]drill{
 	"attempt": {"the real program against stand-ins that do wrong whatever they may; checks what all saw",
 		attempts},
+	"desk": {"the client library against two real schedulers, one of which is killed half way", desks},
 	"planted": {"plants faults in the program, one build each, and lets the explorer find them",
 		planting},
 }
