Write a state's form, a drill's set-up and a site's start once each

Need: reading the change again showed the same code twice and some that nothing uses: the encoding of states in three places, the start of a scheduler with its regions in two, the set-up of drills in two, the names of a job's ends in two, the bound on slots in two.

Change: internal/form, rig's site, onProgram, desk.Verdict and dahliaford.MostSlots serve both sides. A drill's table and its figures come from one list. Unused fields, parameters, methods and a branch that could not be taken are gone.

--- a/cmd/dahlialab/attempt.go
+++ b/cmd/dahlialab/attempt.go
@@ -11,39 +11,46 @@
 	"dahliaford/internal/rig"
 )
 
-// attempts runs the real program against stand-ins that do wrong what they may, and checks
-// what all saw. It uses the scheduler beside itself, or builds one.
-func attempts(ctx context.Context, seed uint64, say func(string, ...any)) (*report, error) {
-	folder, err := os.MkdirTemp("", "drill")
-	if err != nil {
-		return nil, err
-	}
-	defer os.RemoveAll(folder)
-	bin, err := scheduler(ctx, folder)
-	if err != nil {
-		return nil, err
+// onProgram is a drill that runs the real program: in a folder of its own, for as long as the
+// drill may take, less the time that its end takes.
+func onProgram(spare time.Duration,
+	run func(bin, folder string, span time.Duration, seed uint64, say sayer) (*report, error)) experiment {
+	return func(ctx context.Context, seed uint64, say sayer) (*report, error) {
+		folder, err := os.MkdirTemp("", "drill")
+		if err != nil {
+			return nil, err
+		}
+		defer os.RemoveAll(folder)
+		bin, err := scheduler(ctx, folder)
+		if err != nil {
+			return nil, err
+		}
+		until, _ := ctx.Deadline()
+		return run(bin, folder, max(time.Until(until)-spare, time.Second), seed, say)
 	}
-	const rate, spare = 80.0, 15 * time.Second
-	until, _ := ctx.Deadline()
-	span := max(time.Until(until)-spare, time.Second)
+}
+
+// attempts runs the real program against stand-ins that do wrong what they may, and checks
+// what all saw.
+func attempts(bin, _ string, span time.Duration, seed uint64, say sayer) (*report, error) {
+	const rate = 80.0
 	say("handing in %.0f jobs a second for %v", rate, span.Round(time.Second))
 	o, err := rig.RunAttempts(context.Background(), rig.Attempts{Bin: bin, For: span, Seed: seed, Rate: rate})
 	if err != nil {
 		return nil, err
 	}
-	r := &report{ok: len(o.Findings) == 0, table: [][]string{{"jobs", "served", "refused", "failed", "left",
-		"attempts",
-		"runs", "DELETEs", "crashes", "drains", "broken"}}}
-	line := []string{}
-	for _, n := range []int{o.Jobs, o.Served, o.Refused, o.Failed, o.Left, o.Attempts, o.Runs, o.Withdrawn,
-		o.Crashes,
-		o.Drains, len(o.Findings)} {
-		line = append(line, fmt.Sprint(n))
+	r := &report{ok: len(o.Findings) == 0, table: make([][]string, 2),
+		figures: map[string]any{"events": o.Events}}
+	for _, c := range []struct {
+		head, key string
+		n         int
+	}{{"jobs", "jobs", o.Jobs}, {"served", "served", o.Served}, {"refused", "refused", o.Refused},
+		{"failed", "failed", o.Failed}, {"left", "left", o.Left}, {"attempts", "attempts", o.Attempts},
+		{"runs", "runs", o.Runs}, {"DELETEs", "withdrawn", o.Withdrawn}, {"crashes", "crashes", o.Crashes},
+		{"drains", "drains", o.Drains}, {"broken", "broken", len(o.Findings)}} {
+		r.table[0], r.table[1] = append(r.table[0], c.head), append(r.table[1], fmt.Sprint(c.n))
+		r.figures[c.key] = c.n
 	}
-	r.table = append(r.table, line)
-	r.figures = map[string]any{"jobs": o.Jobs, "served": o.Served, "refused": o.Refused, "failed": o.Failed,
-		"left": o.Left, "attempts": o.Attempts, "runs": o.Runs, "withdrawn": o.Withdrawn, "crashes": o.Crashes,
-		"drains": o.Drains, "events": o.Events, "broken": len(o.Findings)}
 	for i, f := range o.Findings {
 		if i == 20 {
 			say("... and %d more", len(o.Findings)-i)
--- a/cmd/dahlialab/desks.go
+++ b/cmd/dahlialab/desks.go
@@ -2,9 +2,8 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
-	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,16 +13,7 @@
 
 // desks runs the client library against two real schedulers over misbehaving regions, one
 // of which is killed half way, and counts how often each job came to a region.
-func desks(ctx context.Context, seed uint64, say func(string, ...any)) (*report, error) {
-	folder, err := os.MkdirTemp("", "drill")
-	if err != nil {
-		return nil, err
-	}
-	defer os.RemoveAll(folder)
-	bin, err := scheduler(ctx, folder)
-	if err != nil {
-		return nil, err
-	}
+func desks(bin, folder string, span time.Duration, seed uint64, say sayer) (*report, error) {
 	f, err := rig.StartFleet(bin, folder, 2, seed)
 	if err != nil {
 		return nil, err
@@ -37,13 +27,11 @@
 		return nil, err
 	}
 	defer client.Close()
-	const spare = 8 * time.Second
-	until, _ := ctx.Deadline()
-	span := max(time.Until(until)-spare, time.Second)
 	say("handing in for %v; a scheduler is killed half way", span.Round(time.Second))
 	kill := time.AfterFunc(span/2, func() { f.Kill(1) })
 	defer kill.Stop()
 	var mu sync.Mutex
+	worded := []string{"served", "refused", "failed", "unknown"} // the others should not come
 	ends, tries, late := map[string]int{}, 0, time.Duration(0)
 	var open sync.WaitGroup
 	tick := time.NewTicker(20 * time.Millisecond)
@@ -62,7 +50,11 @@
 			mu.Lock()
 			defer mu.Unlock()
 			late = max(late, over)
-			ends[endOf(err)]++
+			end := desk.Verdict(err)
+			if !slices.Contains(worded, end) {
+				end = "other"
+			}
+			ends[end]++
 			if r != nil {
 				tries += r.Tries
 			}
@@ -71,27 +63,10 @@
 	open.Wait()
 	twice, runs := f.Runs()
 	r := &report{ok: twice == 0 && late < 50*time.Millisecond, table: [][]string{{"end", "jobs"}}}
-	for _, end := range []string{"served", "refused", "failed", "unknown", "other"} {
+	for _, end := range append(worded, "other") {
 		r.table = append(r.table, []string{end, fmt.Sprint(ends[end])})
 	}
 	r.figures = map[string]any{"jobs": jobs, "ends": ends, "tries_of_served": tries, "runs": runs,
 		"post_readings_run_twice": twice, "latest_return_ms": late.Milliseconds()}
 	return r, nil
 }
-
-func endOf(err error) string {
-	var refused *desk.Refused
-	var failed *desk.Failed
-	var unknown *desk.Unknown
-	switch {
-	case err == nil:
-		return "served"
-	case errors.As(err, &refused):
-		return "refused"
-	case errors.As(err, &failed):
-		return "failed"
-	case errors.As(err, &unknown):
-		return "unknown"
-	}
-	return "other"
-}
--- a/cmd/dahlialab/drill.go
+++ b/cmd/dahlialab/drill.go
@@ -28,16 +28,22 @@
 	table   [][]string
 }
 
-// drill is one experiment. Progress goes to say.
+// experiment is what a drill runs until its context ends. Progress goes to say.
+type experiment func(ctx context.Context, seed uint64, say sayer) (*report, error)
+
+type sayer func(format string, args ...any)
+
+// drill is one experiment, with its name's meaning.
 type drill struct {
 	about string
-	run   func(ctx context.Context, seed uint64, say func(format string, args ...any)) (*report, error)
+	run   experiment
 }
 
 var drills = map[string]drill{
 	"attempt": {"the real program against stand-ins that do wrong whatever they may; checks what all saw",
-		attempts},
-	"desk": {"the client library against two real schedulers, one of which is killed half way", desks},
+		onProgram(15*time.Second, attempts)},
+	"desk": {"the client library against two real schedulers, one of which is killed half way",
+		onProgram(8*time.Second, desks)},
 	"planted": {"plants faults in the program, one build each, and lets the explorer find them",
 		planting},
 }
--- a/cmd/dahlialab/planting.go
+++ b/cmd/dahlialab/planting.go
@@ -17,7 +17,7 @@
 
 // planting builds the laboratory anew with each planted fault and has it explore the world
 // in which the fault must show. It runs in the root of the repository and needs Go.
-func planting(ctx context.Context, _ uint64, say func(string, ...any)) (*report, error) {
+func planting(ctx context.Context, _ uint64, say sayer) (*report, error) {
 	root, err := os.Getwd()
 	if err != nil {
 		return nil, err
--- a/copy.go
+++ b/copy.go
@@ -1,10 +1,10 @@
 package dahliaford
 
 import (
-	"encoding/binary"
 	"maps"
-	"math"
 	"slices"
+
+	"dahliaford/internal/form"
 )
 
 // What a checker needs of the module: to copy a state and to compare two. Nothing here
@@ -74,112 +74,96 @@
 // AppendState appends a form of the state between two events that is the same for two
 // states if they act alike from here on.
 func (d *Dispatcher) AppendState(b []byte) []byte {
-	num := func(vs ...int64) {
-		for _, v := range vs {
-			b = binary.AppendVarint(b, v)
-		}
-	}
-	real := func(vs ...float64) {
-		for _, v := range vs {
-			b = binary.LittleEndian.AppendUint64(b, math.Float64bits(v))
-		}
-	}
-	flag := func(vs ...bool) {
-		for _, v := range vs {
-			bit := byte(0)
-			if v {
-				bit = 1
-			}
-			b = append(b, bit)
-		}
-	}
-	fits := func(f *[fitsKept + 1]fit) {
-		for i := range f {
-			if f[i] != (fit{}) {
-				num(int64(i))
-				real(f[i].prompt, f[i].late)
+	f := form.Form(b)
+	fits := func(of *[fitsKept + 1]fit) {
+		for i := range of {
+			if of[i] != (fit{}) {
+				f.Num(int64(i))
+				f.Real(of[i].prompt, of[i].late)
 			}
 		}
-		num(-1)
+		f.Num(-1)
 	}
 	runs := func(q *quantiles) {
-		num(int64(q.n))
-		real(q.value)
-		real(q.ring[:min(q.n, runsKept)]...)
+		f.Num(int64(q.n))
+		f.Real(q.value)
+		f.Real(q.ring[:min(q.n, runsKept)]...)
 	}
-	num(int64(d.now), int64(d.born), int64(d.random), int64(d.seq), int64(len(d.jobs)), int64(len(d.held)))
-	num(int64(d.level), int64(d.gapped), int64(d.severeRow), int64(d.overRow), int64(d.passRow), int64(d.stepAt),
+	f.Num(int64(d.now), int64(d.born), int64(d.random), int64(d.seq), int64(len(d.jobs)), int64(len(d.held)))
+	f.Num(int64(d.level), int64(d.gapped), int64(d.severeRow), int64(d.overRow), int64(d.passRow),
+		int64(d.stepAt),
 		int64(d.climb), int64(d.levels), int64(d.refreshed), int64(d.refreshes), int64(d.wake), int64(d.token),
 		int64(d.askAt), int64(d.askFails), int64(d.logged))
-	real(d.reach, d.here, d.worth, d.retries, d.probes, d.fleet.work, d.fleet.time)
-	flag(d.hints, d.panicking)
+	f.Real(d.reach, d.here, d.worth, d.retries, d.probes, d.fleet.work, d.fleet.time)
+	f.Flag(d.hints, d.panicking)
 	runs(&d.slots)
-	real(d.tokens...)
+	f.Real(d.tokens...)
 	for _, at := range d.tokenAt {
-		num(int64(at))
+		f.Num(int64(at))
 	}
 	for i := range d.classes {
 		c := &d.classes[i]
-		real(c.work, c.square, c.n, c.arrived, c.rate)
-		num(int64(c.target))
+		f.Real(c.work, c.square, c.n, c.arrived, c.rate)
+		f.Num(int64(c.target))
 		runs(&c.runs)
 	}
 	for i := range d.flows {
-		real(d.flows[i].rate)
-		num(d.flows[i].interval)
+		f.Real(d.flows[i].rate)
+		f.Num(d.flows[i].interval)
 	}
 	for _, list := range [][]int{d.near, d.ranks, d.byTarget} {
 		for _, n := range list {
-			num(int64(n))
+			f.Num(int64(n))
 		}
 	}
 	for i := range d.peers {
-		real(d.peers[i].place)
-		num(int64(d.peers[i].zone), int64(d.peers[i].visited))
+		f.Real(d.peers[i].place)
+		f.Num(int64(d.peers[i].zone), int64(d.peers[i].visited))
 	}
 	for _, n := range slices.Sorted(maps.Keys(d.kinds)) {
 		k := d.kinds[n]
-		num(int64(n), int64(k.top), int64(k.tried))
-		real(k.work, k.time, k.most)
+		f.Num(int64(n), int64(k.top), int64(k.tried))
+		f.Real(k.work, k.time, k.most)
 		fits(&k.fits)
 	}
 	for _, list := range [][]*worker{d.order, d.part, d.busy, d.touched} {
-		num(int64(len(list)))
+		f.Num(int64(len(list)))
 		for _, w := range list {
-			num(int64(w.entry.Worker))
+			f.Num(int64(w.entry.Worker))
 		}
 	}
 	for _, w := range d.order {
 		e := &w.entry
-		num(int64(e.Zone), int64(e.Cell), int64(e.Kind), int64(e.Status), int64(e.Started))
-		num(int64(w.unstarted), int64(w.answered), int64(w.probed), int64(w.capAt), int64(w.blocked), int64(w.sign),
+		f.Num(int64(e.Zone), int64(e.Cell), int64(e.Kind), int64(e.Status), int64(e.Started))
+		f.Num(int64(w.unstarted), int64(w.answered), int64(w.probed), int64(w.capAt), int64(w.blocked),
+			int64(w.sign),
 			int64(w.trial), int64(w.fails), int64(w.erredAt), int64(w.downUntil), int64(w.cold), int64(w.budgetAt),
 			int64(w.told.used), int64(w.told.waiting), int64(len(w.live)))
-		real(w.used, w.cap, w.slots, w.pace.work, w.pace.time, w.errors, w.budget, w.place, w.tilt)
-		flag(w.suspect, w.lost, w.touched, w.kind != nil, w.fits != nil)
+		f.Real(w.used, w.cap, w.slots, w.pace.work, w.pace.time, w.errors, w.budget, w.place, w.tilt)
+		f.Flag(w.suspect, w.lost, w.touched, w.kind != nil, w.fits != nil)
 		if w.fits != nil {
 			fits(w.fits)
 		}
 		for i := range w.peers {
 			p := &w.peers[i]
-			num(int64(p.used), int64(p.waiting), int64(p.peer), int64(p.at), int64(p.grew), int64(p.coming),
+			f.Num(int64(p.used), int64(p.waiting), int64(p.peer), int64(p.at), int64(p.grew), int64(p.coming),
 				int64(p.waits))
 		}
 		for _, a := range w.live {
-			num(int64(a.job.id), int64(a.n))
+			f.Num(int64(a.job.id), int64(a.n))
 		}
 	}
 	for _, id := range slices.Sorted(maps.Keys(d.jobs)) {
 		j := d.jobs[id]
-		num(int64(id), int64(j.class), int64(j.tenant), int64(j.giveUp), int64(j.aim), int64(j.due), int64(j.seq),
+		f.Num(int64(id), int64(j.class), int64(j.tenant), int64(j.giveUp), int64(j.aim), int64(j.due), int64(j.seq),
 			int64(j.live), int64(j.asked), int64(len(j.attempts)))
-		real(j.work, j.slots)
-		flag(j.over, j.held, j.late, j.hinted, j.streaming, j.finished)
+		f.Real(j.work, j.slots)
+		f.Flag(j.over, j.held, j.late, j.hinted, j.streaming, j.finished)
 		for _, a := range j.attempts {
-			num(int64(a.worker.entry.Worker), int64(a.n), int64(a.sent), int64(a.started), int64(a.noted))
-			real(a.done, a.taken)
-			flag(a.live, a.ran, a.back, a.overdue)
+			f.Num(int64(a.worker.entry.Worker), int64(a.n), int64(a.sent), int64(a.started), int64(a.noted))
+			f.Real(a.done, a.taken)
+			f.Flag(a.live, a.ran, a.back, a.overdue)
 		}
 	}
-	return b
+	return f
 }
--- a/desk/conn.go
+++ b/desk/conn.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"math"
 	"net"
 	"net/url"
@@ -151,10 +150,8 @@
 	if left <= 0 {
 		return outcome{proof: plan.NotSent, err: context.DeadlineExceeded}
 	}
-	if n, err := link.Write(c.request(job, step, left)); err != nil {
+	if _, err := link.Write(c.request(job, step, left)); err != nil { // it is out whole, or not
 		return outcome{proof: plan.NotSent, err: err}
-	} else if n == 0 {
-		return outcome{proof: plan.NotSent, err: io.ErrShortWrite}
 	}
 	o := link.answer()
 	again = o.proof == plan.Answered && !link.last
--- a/desk/desk_test.go
+++ b/desk/desk_test.go
@@ -86,30 +86,6 @@
 
 const served = "HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\nresult"
 
-// verdictOf names how a job ended.
-func verdictOf(err error) string {
-	var refused *Refused
-	var failed *Failed
-	var unknown *Unknown
-	var invalid *Invalid
-	var expired *Expired
-	switch {
-	case err == nil:
-		return "served"
-	case errors.As(err, &refused):
-		return "refused"
-	case errors.As(err, &failed):
-		return "failed"
-	case errors.As(err, &unknown):
-		return "unknown"
-	case errors.As(err, &invalid):
-		return "invalid"
-	case errors.As(err, &expired):
-		return "expired"
-	}
-	return err.Error()
-}
-
 // An answer that is lost at every byte: a job that must not run twice is handed in once.
 func TestAnswerLostAtEveryByte(t *testing.T) {
 	for cut := range len(served) + 1 {
@@ -122,7 +98,7 @@
 				want = "served"
 			}
 			// A reset may overtake what was written before it.
-			if got := verdictOf(err); got != want && !(then == "reset" && got == "unknown") {
+			if got := Verdict(err); got != want && !(then == "reset" && got == "unknown") {
 				t.Errorf("cut after %d bytes, %s: %s, want %s (%v)", cut, then, got, want, err)
 			}
 			if err == nil && string(result.Body) != "result" {
@@ -156,7 +132,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := script(t, func(int64) (string, string) { return c.text, "close" })
 			_, err := client(t, s.Addr().String()).Do(t.Context(), Job{Class: "post-reading"})
-			if got := verdictOf(err); got != c.want || s.took.Load() != 1 {
+			if got := Verdict(err); got != c.want || s.took.Load() != 1 {
 				t.Errorf("%s (%v) after %d requests, want %s", got, err, s.took.Load(), c.want)
 			}
 		})
@@ -209,7 +185,7 @@
 	}
 	dead.Close()
 	if _, err := client(t, dead.Addr().String()).Do(t.Context(),
-		Job{Class: "post-reading"}); verdictOf(err) != "refused" {
+		Job{Class: "post-reading"}); Verdict(err) != "refused" {
 		t.Error(err)
 	}
 	s := script(t, func(int64) (string, string) { return served, "keep" })
@@ -236,7 +212,7 @@
 		if _, err := c.Do(t.Context(), Job{Class: class}); err != nil {
 			t.Fatal(err)
 		}
-		if _, err := c.Do(t.Context(), Job{Class: class}); verdictOf(err) != want {
+		if _, err := c.Do(t.Context(), Job{Class: class}); Verdict(err) != want {
 			t.Errorf("%s: %v, want %s", class, err, want)
 		}
 	}
@@ -249,7 +225,7 @@
 	c := client(t, s.Addr().String())
 	deadline := time.Now().Add(200 * time.Millisecond)
 	_, err := c.Do(t.Context(), Job{Class: "post-reading", Deadline: deadline})
-	if late := time.Since(deadline); verdictOf(err) != "unknown" || late < 0 || late > 2*time.Second {
+	if late := time.Since(deadline); Verdict(err) != "unknown" || late < 0 || late > 2*time.Second {
 		t.Errorf("%v, %v after the deadline", err, late)
 	}
 	ctx, cancel := context.WithCancel(t.Context())
@@ -260,11 +236,11 @@
 	}()
 	began := time.Now()
 	_, err = c.Do(ctx, Job{Class: "post-reading"})
-	if verdictOf(err) != "unknown" || !errors.Is(err, context.Canceled) || time.Since(began) > 4*time.Second {
+	if Verdict(err) != "unknown" || !errors.Is(err, context.Canceled) || time.Since(began) > 4*time.Second {
 		t.Errorf("%v after %v", err, time.Since(began))
 	}
 	_, err = c.Do(t.Context(), Job{Class: "post-reading", Deadline: time.Now().Add(-time.Second)})
-	if verdictOf(err) != "expired" {
+	if Verdict(err) != "expired" {
 		t.Error(err)
 	}
 }
@@ -272,7 +248,7 @@
 func TestWrongJobsAndSettings(t *testing.T) {
 	c := client(t, "127.0.0.1:1")
 	for _, job := range []Job{{Class: "nothing"}, {Class: "look", Body: make([]byte, 65<<10)}} {
-		if _, err := c.Do(t.Context(), job); verdictOf(err) != "invalid" {
+		if _, err := c.Do(t.Context(), job); Verdict(err) != "invalid" {
 			t.Error(err)
 		}
 	}
@@ -348,7 +324,7 @@
 			r, err := c.Do(t.Context(), Job{Class: "post-reading", Body: []byte(body)})
 			mu.Lock()
 			defer mu.Unlock()
-			ends[verdictOf(err)]++
+			ends[Verdict(err)]++
 			if err == nil && string(r.Body) != strings.ToUpper(body) {
 				t.Errorf("%s was served %q", body, r.Body)
 			}
--- a/desk/internal/plan/plan.go
+++ b/desk/internal/plan/plan.go
@@ -198,8 +198,7 @@
 	}
 	p.judge(now, j.at, r)
 	p.release(j.at)
-	ran := mayHaveRun(r)
-	if ran && j.first.IsZero() {
+	if mayHaveRun(r) && j.first.IsZero() {
 		j.first = began
 	}
 	switch {
@@ -213,14 +212,14 @@
 		end = Unknown // this try did not run; an earlier one may have
 	}
 	back := p.comeBack(now, j, r)
-	if s, again := p.again(now, j, r, back); again {
+	if s, again := p.again(j, back); again {
 		return s
 	}
 	return p.finish(j, Step{Verdict: end, At: back})
 }
 
 // again tells whether a job gets another try, and plans it.
-func (p *Plan) again(now time.Time, j *Job, r Result, at time.Time) (Step, bool) {
+func (p *Plan) again(j *Job, at time.Time) (Step, bool) {
 	switch {
 	case j.tries >= j.class.Tries, !at.Before(j.deadline), p.tokens < 1, !mayRepeat(j, at):
 		return Step{}, false
@@ -249,7 +248,7 @@
 	case NotSent:
 		return false
 	case Answered:
-		return r.Status != 429 && r.Status != 503 && !(r.Status >= 400 && r.Status < 500)
+		return r.Status != 503 && !(r.Status >= 400 && r.Status < 500)
 	}
 	return true
 }
@@ -296,7 +295,7 @@
 	if s.fails < p.cfg.EjectAfter && !s.trial {
 		return
 	}
-	if s.until.IsZero() && 2*(p.aside(now)+1) > len(p.scheds) {
+	if s.until.IsZero() && 2*(p.aside()+1) > len(p.scheds) {
 		return // more than half look ill: the evidence is at fault, or there is nowhere else
 	}
 	s.ejected = min(max(2*s.ejected, p.cfg.Eject), p.cfg.EjectMost)
@@ -305,7 +304,7 @@
 }
 
 // aside counts the schedulers that are set aside.
-func (p *Plan) aside(now time.Time) int {
+func (p *Plan) aside() int {
 	n := 0
 	for i := range p.scheds {
 		if !p.scheds[i].until.IsZero() {
--- a/desk/internal/plan/plan_test.go
+++ b/desk/internal/plan/plan_test.go
@@ -193,7 +193,7 @@
 			p.judge(later, i, Result{Proof: NotSent})
 		}
 	}
-	if n := p.aside(later); n != 1 {
+	if n := p.aside(); n != 1 {
 		t.Errorf("%d of 3 are set aside, want at most half", n)
 	}
 }
--- a/estimates.go
+++ b/estimates.go
@@ -336,9 +336,9 @@
 	return gap < d.reach
 }
 
-// mostSlots is the most that a job can say it takes: far beyond any machine, and within
+// MostSlots is the most that a job can say it takes: far beyond any machine, and within
 // what counts of slots can hold.
-const mostSlots = 1 << 20
+const MostSlots = 1 << 20
 
 // slotsFor is the slots that a job is taken to need: one at the least. What is no number
 // counts as one: added to a worker's use, it could never be taken off again.
@@ -346,5 +346,5 @@
 	if !(said >= 1) {
 		return 1
 	}
-	return min(said, mostSlots)
+	return min(said, MostSlots)
 }
--- a/internal/explore/search.go
+++ b/internal/explore/search.go
@@ -2,13 +2,14 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/xxh3"
+
+	"dahliaford/internal/form"
 )
 
 // Options say how a world is searched.
@@ -89,7 +90,6 @@
 	working int
 	found   *Broken
 	at      *node
-	last    []Action // beyond at: the steps of the fair end, if that broke
 	stopped atomic.Bool
 }
 
@@ -122,8 +122,7 @@
 	close(over)
 	watcher.Wait()
 	r := &Result{World: cfg.Name, States: s.states.Load(), Transitions: s.steps.Load(),
-		Depth:     int(s.depth.Load()),
-		Exhausted: !s.stopped.Load(), Coverage: &Coverage{}}
+		Depth: int(s.depth.Load()), Exhausted: !s.stopped.Load(), Coverage: &Coverage{}}
 	for i := range covers {
 		r.Coverage.add(&covers[i])
 	}
@@ -362,61 +361,48 @@
 
 // appendState appends a form of a state that is the same for two that act alike.
 func (w *World) appendState(b []byte) []byte {
-	num := func(vs ...int64) {
-		for _, v := range vs {
-			b = binary.AppendVarint(b, v)
-		}
-	}
-	flags := func(vs ...bool) {
-		bits := int64(0)
-		for i, v := range vs {
-			if v {
-				bits |= 1 << i
-			}
-		}
-		num(bits)
-	}
-	num(int64(w.now), int64(w.wake), w.rev, int64(w.most), int64(w.caller), int64(w.stopAt))
-	b = append(b, w.left[:]...)
-	flags(w.breaks, w.watching, w.asked, w.stopped, w.exited, w.gaveUp)
+	f := form.Form(b)
+	f.Num(int64(w.now), int64(w.wake), w.rev, int64(w.most), int64(w.caller), int64(w.stopAt))
+	f = append(f, w.left[:]...)
+	f.Flag(w.breaks, w.watching, w.asked, w.stopped, w.exited, w.gaveUp)
 	for i := range w.requests {
 		q := &w.requests[i]
-		b = append(b, byte(q.class), q.id, byte(q.state), byte(q.verdict), q.attempts, q.starts, q.ran, q.made,
+		f = append(f, byte(q.class), q.id, byte(q.state), byte(q.verdict), q.attempts, q.starts, q.ran, q.made,
 			q.at, byte(q.stage))
-		num(int64(q.caller), int64(q.deadline), int64(q.firstRan), int64(q.last), int64(q.gen))
+		f.Num(int64(q.caller), int64(q.deadline), int64(q.firstRan), int64(q.last), int64(q.gen))
 	}
 	for i := range w.regions {
 		r := &w.regions[i]
-		flags(r.down, r.silent)
-		num(int64(r.status), int64(r.begun), int64(r.known), int64(r.told), int64(len(r.fresh)))
+		f.Flag(r.down, r.silent)
+		f.Num(int64(r.status), int64(r.begun), int64(r.known), int64(r.told), int64(len(r.fresh)))
 		for _, at := range r.fresh {
-			num(int64(at))
+			f.Num(int64(at))
 		}
 	}
-	num(int64(len(w.routes)), int64(len(w.jobs)), int64(len(w.calls)), int64(len(w.withdraws)),
+	f.Num(int64(len(w.routes)), int64(len(w.jobs)), int64(len(w.calls)), int64(len(w.withdraws)),
 		int64(len(w.unsent)))
 	for i := range w.routes {
 		r := &w.routes[i]
-		b = append(b, r.id, r.region, byte(r.phase))
-		flags(r.cold, r.unheard, r.link.Busy, r.link.Written, r.link.Broken, r.link.Dead)
-		num(int64(r.task), int64(r.status), int64(r.writeBy), int64(r.sent))
+		f = append(f, r.id, r.region, byte(r.phase))
+		f.Flag(r.cold, r.unheard, r.link.Busy, r.link.Written, r.link.Broken, r.link.Dead)
+		f.Num(int64(r.task), int64(r.status), int64(r.writeBy), int64(r.sent))
 	}
 	for i := range w.jobs {
 		j := &w.jobs[i]
-		b = append(b, j.id, j.region)
-		flags(j.running)
-		num(int64(j.task), int64(j.sent))
+		f = append(f, j.id, j.region)
+		f.Flag(j.running)
+		f.Num(int64(j.task), int64(j.sent))
 	}
 	for _, c := range w.calls {
-		b = append(b, c.id, c.region, byte(c.news))
+		f = append(f, c.id, c.region, byte(c.news))
 	}
 	for i := range w.withdraws {
 		wd := &w.withdraws[i]
-		b = append(b, wd.id, wd.region, byte(wd.phase))
-		num(int64(wd.task), int64(wd.deadline))
+		f = append(f, wd.id, wd.region, byte(wd.phase))
+		f.Num(int64(wd.task), int64(wd.deadline))
 	}
 	for _, task := range w.unsent {
-		num(int64(task))
+		f.Num(int64(task))
 	}
-	return w.s.AppendState(b)
+	return w.s.AppendState(f)
 }
--- a/internal/explore/world.go
+++ b/internal/explore/world.go
@@ -72,7 +72,6 @@
 	last     scheduler.Task
 	at       uint8 // the region of the last task
 	stage    stage // of the last task, as far as the scheduler has heard
-	given    bool  // the scheduler has given the last task up
 }
 
 type region struct {
@@ -85,8 +84,6 @@
 	fresh  []Micros
 }
 
-func (r *region) reachable() bool { return !r.down && !r.silent }
-
 type phase uint8
 
 const (
@@ -259,7 +256,7 @@
 		r.link.Take(e.Task, false)
 		w.routes = append(w.routes, r)
 		q := &w.requests[r.id]
-		q.last, q.at, q.stage, q.given = e.Task, r.region, stageConnecting, false
+		q.last, q.at, q.stage = e.Task, r.region, stageConnecting
 	case scheduler.Abandon:
 		w.note("scheduler closes the connection of its task at a region")
 		w.abandon(e.Task)
@@ -292,7 +289,7 @@
 func (w *World) give(task scheduler.Task) {
 	for i := range w.requests {
 		if q := &w.requests[i]; q.last == task && task != 0 {
-			q.given, q.stage = true, stageGivenUp
+			q.stage = stageGivenUp
 		}
 	}
 }
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"dahliaford"
 	"dahliaford/internal/http1"
 	"dahliaford/internal/scheduler"
 )
@@ -221,7 +222,7 @@
 		why = "no X-Remaining-Ms"
 	case err != nil || left[0] < '0':
 		why = "malformed X-Remaining-Ms"
-	case !(slots <= mostSlots):
+	case !(slots <= dahliaford.MostSlots): // beyond any machine, or no number at all
 		why = "malformed X-Labels"
 	}
 	if why != "" {
@@ -284,10 +285,6 @@
 	return name
 }
 
-// mostSlots is the most that labels may say: beyond that, or no number at all, the
-// request makes no sense.
-const mostSlots = 1 << 20
-
 // slotsOf reads how many slots (or memory units, if more) a request's labels say.
 func slotsOf(labels string) float64 {
 	most := 1.0
--- a/internal/rig/attempt.go
+++ b/internal/rig/attempt.go
@@ -57,52 +57,26 @@
 		return nil, err
 	}
 	defer os.RemoveAll(folder)
-	var sched *Process
-	var at sync.RWMutex
-	scheduler := func() string {
-		at.RLock()
-		defer at.RUnlock()
-		if sched == nil {
-			return "127.0.0.1:1"
-		}
-		return sched.Addr
-	}
-	var fleet []*standin.Region
-	var lines []standin.Line
 	rules := record.Rules{Once: map[string]bool{"post-reading": true}, Rack: map[string]string{},
 		Window: 10 * time.Second, DrainGrace: 550 * time.Millisecond,
-		MostAttempts: 4, Slack: a.Slack,
-		Watched: 3 * time.Second}
+		MostAttempts: 4, Slack: a.Slack, Watched: 3 * time.Second}
+	var lines []standin.Line
 	for i := range regions {
-		uid := fmt.Sprintf("s-%08x", i+1)
-		r, err := standin.NewRegion(uid, "127.0.0.1:0", scheduler, mischief(a.Seed, i), rec)
-		if err != nil {
-			return nil, err
-		}
-		defer r.Close()
-		fleet = append(fleet, r)
-		lines = append(lines, standin.Line{UID: uid, Endpoint: r.Addr(), Zone: "north", Model: "m1",
-			Group: i / 2, State: "ready"})
-		rules.Rack[uid] = strconv.Itoa(i / 2)
-	}
-	discovery, err := standin.NewDiscovery("127.0.0.1:0", lines...)
-	if err != nil {
-		return nil, err
+		line := standin.Line{UID: fmt.Sprintf("s-%08x", i+1), Group: i / 2}
+		lines = append(lines, line)
+		rules.Rack[line.UID] = strconv.Itoa(line.Group)
 	}
-	defer discovery.Close()
-	p, err := Start(a.Bin, folder, "n0", discovery.Addr())
+	p, err := startSite(a.Bin, folder, "n0", lines,
+		func(k int) func(standin.Job) standin.Plan { return mischief(a.Seed, k) }, rec)
 	if err != nil {
 		return nil, err
 	}
-	at.Lock()
-	sched = p
-	at.Unlock()
-	defer p.Kill()
+	defer p.close()
 	out := &Outcome{}
 	handing, cancel := context.WithTimeout(ctx, a.For)
 	defer cancel()
 	var troubles sync.WaitGroup
-	troubles.Go(func() { trouble(handing, a.Seed, out, fleet, lines, discovery, rec) })
+	troubles.Go(func() { trouble(handing, a.Seed, out, p, rec) })
 	handIn(handing, a, p.Addr, rec)
 	troubles.Wait()
 	select {
@@ -184,8 +158,7 @@
 }
 
 // trouble crashes regions, lets them drain, and breaks the watch, one after another.
-func trouble(ctx context.Context, seed uint64, out *Outcome, fleet []*standin.Region, lines []standin.Line,
-	discovery *standin.Discovery, rec standin.Recorder) {
+func trouble(ctx context.Context, seed uint64, out *Outcome, at *site, rec standin.Recorder) {
 	random := rand.New(rand.NewPCG(seed, 2))
 	rest := func(d time.Duration) bool {
 		select {
@@ -196,27 +169,27 @@
 		}
 	}
 	for rest(400*time.Millisecond + time.Duration(random.IntN(600))*time.Millisecond) {
-		i := random.IntN(len(fleet))
-		line := lines[i]
+		i := random.IntN(len(at.regions))
+		line := at.lines[i]
 		switch random.IntN(4) {
 		case 0:
 			out.Crashes++
-			fleet[i].Crash()
+			at.regions[i].Crash()
 			line.BootMs = time.Now().UnixMilli()
-			lines[i] = line
-			discovery.Set(line)
+			at.lines[i] = line
+			at.discovery.Set(line)
 		case 1, 2:
 			out.Drains++
 			line.State = []string{"draining", "gone"}[random.IntN(2)]
-			discovery.Set(line)
+			at.discovery.Set(line)
 			rec(record.Event{At: time.Now(), Kind: record.Told, Who: line.UID})
 			if !rest(1200 * time.Millisecond) {
 				return
 			}
 			rec(record.Event{At: time.Now(), Kind: record.Back, Who: line.UID})
-			discovery.Set(lines[i])
+			at.discovery.Set(at.lines[i])
 		case 3:
-			discovery.Break()
+			at.discovery.Break()
 		}
 	}
 }
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -13,9 +13,7 @@
 // Fleet is several schedulers over regions that do wrong whatever the protocol allows. Each
 // scheduler has region doors of its own, as callbacks go to whoever sent the job.
 type Fleet struct {
-	schedulers []*Process
-	regions    []*standin.Region
-	discovery  []*standin.Discovery
+	sites []*site
 
 	mu   sync.Mutex
 	body map[string]string // of each id
@@ -32,47 +30,25 @@
 		}
 	}()
 	for i := range n {
-		var at sync.Mutex
-		addr := "127.0.0.1:1"
-		scheduler := func() string {
-			at.Lock()
-			defer at.Unlock()
-			return addr
-		}
-		var lines []standin.Line
-		for k := range 2 {
-			uid := fmt.Sprintf("s-%d%d", i, k)
-			plan := mischief(seed, 10*i+k)
-			r, err := standin.NewRegion(uid, "127.0.0.1:0", scheduler, func(j standin.Job) standin.Plan {
+		plan := func(k int) func(standin.Job) standin.Plan {
+			does := mischief(seed, 10*i+k)
+			return func(j standin.Job) standin.Plan {
 				if strings.HasPrefix(j.Target, "/post-reading/") {
 					f.mu.Lock()
 					f.body[j.ID] = string(j.Body)
 					f.mu.Unlock()
 				}
-				return plan(j)
-			}, f.saw)
-			if err != nil {
-				return f, err
+				return does(j)
 			}
-			f.regions = append(f.regions, r)
-			lines = append(lines, standin.Line{UID: uid, Endpoint: r.Addr(), Zone: "north", Model: "m1",
-				State: "ready"})
-		}
-		d, err := standin.NewDiscovery("127.0.0.1:0", lines...)
-		if err != nil {
-			return f, err
 		}
-		f.discovery = append(f.discovery, d)
-		p, err := Start(bin, folder, fmt.Sprint("n", i), d.Addr())
+		lines := []standin.Line{{UID: fmt.Sprintf("s-%d0", i)}, {UID: fmt.Sprintf("s-%d1", i)}}
+		s, err := startSite(bin, folder, fmt.Sprint("n", i), lines, plan, f.saw)
 		if err != nil {
 			return f, err
 		}
-		f.schedulers = append(f.schedulers, p)
-		at.Lock()
-		addr = p.Addr
-		at.Unlock()
+		f.sites = append(f.sites, s)
 	}
-	if len(f.schedulers) == 0 {
+	if len(f.sites) == 0 {
 		return f, errors.New("a fleet without schedulers")
 	}
 	return f, nil
@@ -106,24 +82,18 @@
 // Schedulers are the addresses of the schedulers.
 func (f *Fleet) Schedulers() []string {
 	var addrs []string
-	for _, p := range f.schedulers {
-		addrs = append(addrs, p.Addr)
+	for _, s := range f.sites {
+		addrs = append(addrs, s.Addr)
 	}
 	return addrs
 }
 
 // Kill ends a scheduler at once.
-func (f *Fleet) Kill(i int) { f.schedulers[i].Kill() }
+func (f *Fleet) Kill(i int) { f.sites[i].Kill() }
 
 // Close ends all.
 func (f *Fleet) Close() {
-	for _, p := range f.schedulers {
-		p.Kill()
-	}
-	for _, r := range f.regions {
-		r.Close()
-	}
-	for _, d := range f.discovery {
-		d.Close()
+	for _, s := range f.sites {
+		s.close()
 	}
 }
--- /dev/null
+++ b/internal/rig/site.go
@@ -0,0 +1,61 @@
+package rig
+
+import (
+	"sync/atomic"
+
+	"dahliaford/internal/standin"
+)
+
+// site is one scheduler with its discovery and its regions, which call it back.
+type site struct {
+	*Process
+	regions   []*standin.Region
+	lines     []standin.Line // of the regions, ready
+	discovery *standin.Discovery
+}
+
+// startSite starts a site with a region for each line: UID and Group are told, the rest is
+// filled in. plan gives what the k-th region does.
+func startSite(bin, folder, name string, lines []standin.Line,
+	plan func(k int) func(standin.Job) standin.Plan,
+	rec standin.Recorder) (s *site, err error) {
+	s = &site{}
+	defer func() {
+		if err != nil {
+			s.close()
+		}
+	}()
+	var addr atomic.Value // of the scheduler, which starts after its regions
+	addr.Store("127.0.0.1:1")
+	for k, line := range lines {
+		r, err := standin.NewRegion(line.UID, "127.0.0.1:0", func() string { return addr.Load().(string) },
+			plan(k), rec)
+		if err != nil {
+			return s, err
+		}
+		s.regions = append(s.regions, r)
+		line.Endpoint, line.Zone, line.Model, line.State = r.Addr(), "north", "m1", "ready"
+		s.lines = append(s.lines, line)
+	}
+	if s.discovery, err = standin.NewDiscovery("127.0.0.1:0", s.lines...); err != nil {
+		return s, err
+	}
+	if s.Process, err = Start(bin, folder, name, s.discovery.Addr()); err != nil {
+		return s, err
+	}
+	addr.Store(s.Addr)
+	return s, nil
+}
+
+// close ends all of it, the scheduler first.
+func (s *site) close() {
+	if s.Process != nil {
+		s.Kill()
+	}
+	for _, r := range s.regions {
+		r.Close()
+	}
+	if s.discovery != nil {
+		s.discovery.Close()
+	}
+}
--- a/internal/scheduler/copy.go
+++ b/internal/scheduler/copy.go
@@ -1,11 +1,11 @@
 package scheduler
 
 import (
-	"encoding/binary"
 	"maps"
 	"slices"
 
 	"dahliaford"
+	"dahliaford/internal/form"
 )
 
 // What a checker needs of the reducer: to copy a state, to compare two, to break the
@@ -75,60 +75,43 @@
 // AppendState appends a form of the state between two events that is the same for two
 // states if they act alike from here on. Payloads are left out.
 func (s *Scheduler) AppendState(b []byte) []byte {
-	num := func(vs ...int64) {
-		for _, v := range vs {
-			b = binary.AppendVarint(b, v)
-		}
-	}
-	flag := func(vs ...bool) {
-		for _, v := range vs {
-			bit := byte(0)
-			if v {
-				bit = 1
-			}
-			b = append(b, bit)
-		}
-	}
-	text := func(v string) {
-		num(int64(len(v)))
-		b = append(b, v...)
-	}
-	num(int64(s.now), int64(s.lastJob), int64(s.lastTask), s.rev, int64(s.wake), int64(s.stopAt),
+	f := form.Form(b)
+	f.Num(int64(s.now), int64(s.lastJob), int64(s.lastTask), s.rev, int64(s.wake), int64(s.stopAt),
 		int64(s.longest),
 		int64(s.used.since), int64(len(s.byCaller)), int64(len(s.byID)), int64(len(s.byTask)), int64(len(s.byJob)))
-	flag(s.watching, s.stopped, s.module == nil)
-	text(s.discovery)
+	f.Flag(s.watching, s.stopped, s.module == nil)
+	f.Text(s.discovery)
 	for _, t := range sorted(s.byJob) {
-		num(int64(t.caller), int64(t.job), int64(t.deadline), int64(len(t.tasks)))
-		text(t.id)
-		flag(t.answered, s.byCaller[t.caller] == t, s.byID[t.id] == t)
+		f.Num(int64(t.caller), int64(t.job), int64(t.deadline), int64(len(t.tasks)))
+		f.Text(t.id)
+		f.Flag(t.answered, s.byCaller[t.caller] == t, s.byID[t.id] == t)
 		for _, k := range t.tasks {
-			num(int64(k.number), int64(k.attempt), int64(k.region.number), int64(k.deadline))
-			num(int64(k.parked))
-			text(k.addr)
-			flag(k.accepted, k.ended)
+			f.Num(int64(k.number), int64(k.attempt), int64(k.region.number), int64(k.deadline))
+			f.Num(int64(k.parked))
+			f.Text(k.addr)
+			f.Flag(k.accepted, k.ended)
 		}
 	}
 	for _, c := range sorted(s.recalls) {
-		num(int64(c.task.number), int64(c.at), int64(c.tries), int64(c.until))
-		text(c.task.of.id)
-		text(c.task.addr)
-		flag(c.trying, s.byJob[c.task.of.job] != nil)
+		f.Num(int64(c.task.number), int64(c.at), int64(c.tries), int64(c.until))
+		f.Text(c.task.of.id)
+		f.Text(c.task.addr)
+		f.Flag(c.trying, s.byJob[c.task.of.job] != nil)
 	}
 	for _, set := range []map[string]bool{s.used.now, s.used.before} {
 		ids := slices.Sorted(maps.Keys(set))
-		num(int64(len(ids)))
+		f.Num(int64(len(ids)))
 		for _, id := range ids {
-			text(id)
+			f.Text(id)
 		}
 	}
 	for _, r := range sorted(s.regions) {
-		num(int64(r.number), int64(r.Cell), int64(r.Status), int64(r.Started))
-		text(r.UID)
-		text(r.Addr)
-		text(r.Zone)
-		text(r.Kind)
-		flag(r.retired)
+		f.Num(int64(r.number), int64(r.Cell), int64(r.Status), int64(r.Started))
+		f.Text(r.UID)
+		f.Text(r.Addr)
+		f.Text(r.Zone)
+		f.Text(r.Kind)
+		f.Flag(r.retired)
 	}
 	dues := slices.Clone(s.due)
 	slices.SortFunc(dues, func(a, b due) int {
@@ -137,16 +120,16 @@
 			[]int64{int64(b.at), int64(b.token), int64(b.task), int64(b.caller), int64(b.recall)}))
 	})
 	for _, d := range dues {
-		num(int64(d.at), int64(d.token), int64(d.task), int64(d.caller), int64(d.recall))
-		flag(d.timer, d.parked)
+		f.Num(int64(d.at), int64(d.token), int64(d.task), int64(d.caller), int64(d.recall))
+		f.Flag(d.timer, d.parked)
 	}
 	for _, name := range append(slices.Clone(s.zones), s.kinds...) {
-		text(name)
+		f.Text(name)
 	}
 	if s.module != nil {
-		b = s.module.AppendState(b)
+		return s.module.AppendState(f)
 	}
-	return b
+	return f
 }
 
 // Break makes the module break down at the next event that it gets.
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -345,7 +345,7 @@
 	}
 	k := t.tasks[len(t.tasks)-1]
 	if k.parked != 0 {
-		s.toldBefore(t, k, e)
+		s.toldBefore(t, e)
 		return
 	}
 	if k.ended || k.region.UID != e.From {
@@ -388,7 +388,7 @@
 
 // toldBefore takes what a region tells of an earlier task while the next one waits for
 // that to be recalled. Its end is as good as a recall, and its result as any.
-func (s *Scheduler) toldBefore(t *transaction, parked *task, e *Told) {
+func (s *Scheduler) toldBefore(t *transaction, e *Told) {
 	for _, k := range t.tasks {
 		c := s.recalls[k.number]
 		if c == nil || k.region.UID != e.From || e.News == NewsStarted || e.News == NewsRunning {
--- a/internal/standin/region.go
+++ b/internal/standin/region.go
@@ -48,8 +48,8 @@
 
 // NewRegion opens a region. scheduler says where its callbacks go at the time of each;
 // plan must be safe for many goroutines.
-func NewRegion(uid, addr string, scheduler func() string, plan func(Job) Plan, rec Recorder) (*Region,
-	error) {
+func NewRegion(uid, addr string, scheduler func() string, plan func(Job) Plan,
+	rec Recorder) (*Region, error) {
 	r := &Region{UID: uid, scheduler: scheduler, plan: plan, record: rec, jobs: map[string]chan struct{}{}}
 	return r, r.listen(addr, r.serve)
 }
@@ -79,13 +79,6 @@
 	}
 }
 
-// Held is the number of jobs that it holds.
-func (r *Region) Held() int {
-	r.life.Lock()
-	defer r.life.Unlock()
-	return len(r.jobs)
-}
-
 func (r *Region) serve(conn net.Conn) {
 	read := http1.NewReader(conn)
 	for {
