Choose regions in a large fleet by how long jobs waited there, not by speed alone

Counted over all logs by region, zone and kind: every dispatcher of 80 chose the fast kind of its own zone, as its own two jobs a second said that these were free; fast regions had up to 140 jobs, slow ones with free slots 4, and the other zone idled. At fault: place() (cost by speed and own jobs; another zone only once the aim was lost), settle() (12 regions shared by 17 dispatchers), coldAllows() (one owner of 80 a cold region), ticksToStart (a crossing with its handshake takes 36 ms and counted as a wait after 16).

Now, where many dispatchers tell each other nothing: waits are learned by kind and region and count in the cost and in what is still in time; choices stray by half a run; another zone is taken by price; four share a region; its cold allowance is for all that cover it; a start is late after 64 ms.

--- a/api.go
+++ b/api.go
@@ -78,7 +78,6 @@
 	MaxAttempts    int
 	MayCancel      bool
 	MayDuplicate   bool // two attempts of a job may be out together
-	MayProbe       bool
 	MayTellPeers   bool
 	MaxRetryAfter  Micros // longest advice to wait that clients obey; 0: none
 	ConnectTimeout Micros
@@ -121,13 +120,12 @@
 	StreamBegan                   // Job, Attempt, Worker
 	ClientGone                    // Job
 	ListChanged                   // Scope, Workers
-	ProbeEnded                    // Worker, Outcome, Report
 	PeerTold                      // Peer, Message
 	TimerRang                     // Token
 	Began                         // sent once, before all else
 )
 
-// Outcome is how an attempt or a probe ended.
+// Outcome is how an attempt ended.
 type Outcome uint8
 
 // The outcomes. Full, ConnectFailed, Moot and Returned prove that nothing ran.
@@ -205,7 +203,6 @@
 	Cancel                      // Job, Attempt
 	SetTimer                    // Wait, Token
 	WatchList                   // subscribe to the worker list
-	Probe                       // Worker
 	TellPeers                   // Peer, Message
 	Log                         // Text
 )
--- /dev/null
+++ b/blind_test.go
@@ -0,0 +1,145 @@
+package dahliaford
+
+import "testing"
+
+// Tests of many dispatchers that tell each other nothing: what all do together shows in
+// how long jobs wait, and in nothing else.
+
+// blind is the setting of the operators' large fleet: 80 dispatchers, no peers.
+func blind(s *Settings) {
+	s.MayTellPeers, s.MayDuplicate, s.CrossZonePrice, s.Granularity = false, false, 0.01, second/500
+}
+
+// serve runs one job at a dispatcher: it begins after a wait that depends on its worker.
+func (b *bench) serve(id JobID, wait func(*worker) Micros) *worker {
+	b.t.Helper()
+	sent := find(b.arrive(id, 0), Send)
+	if len(sent) != 1 {
+		b.t.Fatalf("job %d: %d sends", id, len(sent))
+	}
+	w := b.d.workers[sent[0].Worker]
+	for end := b.now + wait(w); b.now < end; b.do(Event{Kind: TimerRang, Token: b.d.token}) {
+		b.now += min(end-b.now, second/100) // events of other jobs make it look
+	}
+	b.do(Event{Kind: AttemptNote, Job: id, Note: NoteStarted})
+	b.pass(second / 5 * Micros(1+w.entry.Kind)) // the first kind is twice as fast
+	b.end(id, 0, OK)
+	return w
+}
+
+// Jobs wait long at one kind of worker though this dispatcher has hardly any there: the
+// others do. Then the other kind gets its jobs, and the faster one is not chosen for its
+// speed alone.
+func TestBlindDispatcherLeavesAKindWhereJobsWait(t *testing.T) {
+	list := fleetList(60)
+	b := member(t, 80, 3, list, 0, blind)
+	b.t = t
+	for i := range 4 {
+		b.slots(list[i].Worker, 2)
+		b.d.kind(b.d.workers[list[i].Worker]).pace = pace{20 * second, float64(10 * second * (1 + list[i].Kind))}
+	}
+	crowded := func(w *worker) Micros {
+		if w.entry.Kind == 0 {
+			return second
+		}
+		return second / 500
+	}
+	for i := range 20 { // so many until both are known
+		b.serve(JobID(i), crowded)
+	}
+	there := 0
+	for i := range 20 {
+		if b.serve(JobID(100+i), crowded).entry.Kind == 0 {
+			there++
+		}
+	}
+	if there > 4 {
+		t.Errorf("%d of 20 jobs went where the last ones had to wait", there)
+	}
+}
+
+// The same for the own zone: crossing costs a hundredth, waiting costs the job.
+func TestBlindDispatcherCrossesWhenItsZoneIsCrowded(t *testing.T) {
+	list := fleetList(60)
+	for i := range list {
+		list[i].Kind = list[i].Zone // as the wait is known by kind
+	}
+	b := member(t, 80, 3, list, 0, blind)
+	b.t = t
+	crowded := func(w *worker) Micros {
+		if w.entry.Zone == 0 {
+			return second
+		}
+		return second / 100
+	}
+	for i := range 20 {
+		b.serve(JobID(i), crowded)
+	}
+	crossed := 0
+	for i := range 20 {
+		if b.serve(JobID(100+i), crowded).entry.Zone == 1 {
+			crossed++
+		}
+	}
+	if crossed < 12 {
+		t.Errorf("%d of 20 jobs crossed to the zone that is free", crossed)
+	}
+}
+
+// A few share each worker, so that what a dispatcher has there itself is a good part of
+// what is there, and every worker has somebody.
+func TestBlindDispatchersShareWorkersWithFew(t *testing.T) {
+	list := fleetList(60)
+	users := map[WorkerID]int{}
+	for _, b := range tier(t, 80, list, alternating, blind) {
+		for _, w := range b.d.part {
+			users[w.entry.Worker]++
+		}
+	}
+	for _, e := range list {
+		if n := users[e.Worker]; n < 2 || n > 16 {
+			t.Errorf("a worker has %d dispatchers of 80", n)
+		}
+	}
+}
+
+// The whole fleet comes back cold. All that cover a worker may use it, and not one of 80
+// alone: else the few that own one would carry what 80 bring.
+func TestBlindDispatchersAllUseAColdFleet(t *testing.T) {
+	list := fleetList(60)
+	all := tier(t, 80, list, alternating, func(s *Settings) {
+		blind(s)
+		s.ColdFrom, s.OverloadFactor = 0.4, 4 // as the operators have them
+	})
+	for i := range list {
+		list[i].Started = all[0].now
+	}
+	idle := 0
+	for i, b := range all {
+		b.t = t
+		b.slots(list[0].Worker, 2)
+		b.slots(list[2].Worker, 3)
+		b.do(Event{Kind: ListChanged, Workers: list})
+		b.pass(second / 2) // a part of the budget
+		sent := len(find(b.arrive(JobID(i), 0), Send)) + len(find(b.pass(second/2), Send))
+		if sent == 0 {
+			idle++
+		}
+	}
+	if idle > 8 {
+		t.Errorf("%d of 80 dispatchers found no place for their first job", idle)
+	}
+}
+
+// A job that crosses zones takes a handshake and the way there and back to begin. That is
+// no wait, and says nothing of the worker's slots.
+func TestBlindDispatcherTakesACrossingForNoWait(t *testing.T) {
+	b := member(t, 80, 3, fleetList(60), 0, blind)
+	b.t = t
+	for i := range 10 {
+		w := b.serve(JobID(i), func(*worker) Micros { return 40_000 })
+		if of := b.d.fit(w, 1); of.late > 0 {
+			t.Fatalf("a start after 40 ms was taken for a wait")
+		}
+	}
+}
--- a/copy.go
+++ b/copy.go
@@ -94,7 +94,7 @@
 		int64(d.stepAt),
 		int64(d.climb), int64(d.levels), int64(d.refreshed), int64(d.refreshes), int64(d.wake), int64(d.token),
 		int64(d.askAt), int64(d.askFails), int64(d.logged))
-	f.Real(d.reach, d.here, d.worth, d.retries, d.probes, d.fleet.work, d.fleet.time)
+	f.Real(d.reach, d.here, d.worth, d.retries, d.fleet.work, d.fleet.time)
 	f.Flag(d.hints, d.panicking)
 	runs(&d.slots)
 	f.Real(d.tokens...)
@@ -123,7 +123,8 @@
 	for _, n := range slices.Sorted(maps.Keys(d.kinds)) {
 		k := d.kinds[n]
 		f.Num(int64(n), int64(k.top), int64(k.tried))
-		f.Real(k.work, k.time, k.most)
+		f.Real(k.work, k.time, k.most, k.wait.sum, k.wait.n)
+		f.Num(int64(k.wait.at))
 		fits(&k.fits)
 	}
 	for _, list := range [][]*worker{d.order, d.part, d.busy, d.touched} {
@@ -135,11 +136,13 @@
 	for _, w := range d.order {
 		e := &w.entry
 		f.Num(int64(e.Zone), int64(e.Cell), int64(e.Kind), int64(e.Status), int64(e.Started))
-		f.Num(int64(w.unstarted), int64(w.answered), int64(w.probed), int64(w.capAt), int64(w.blocked),
+		f.Num(int64(w.unstarted), int64(w.capAt), int64(w.blocked),
 			int64(w.sign),
 			int64(w.trial), int64(w.fails), int64(w.erredAt), int64(w.downUntil), int64(w.cold), int64(w.budgetAt),
 			int64(w.told.used), int64(w.told.waiting), int64(len(w.live)))
-		f.Real(w.used, w.cap, w.slots, w.pace.work, w.pace.time, w.errors, w.budget, w.place, w.tilt)
+		f.Real(w.used, w.cap, w.slots, w.pace.work, w.pace.time, w.errors, w.budget, w.place, w.tilt,
+			w.wait.sum, w.wait.n)
+		f.Num(int64(w.wait.at))
 		f.Flag(w.suspect, w.lost, w.touched, w.kind != nil, w.fits != nil)
 		if w.fits != nil {
 			fits(w.fits)
@@ -156,7 +159,7 @@
 	for _, id := range slices.Sorted(maps.Keys(d.jobs)) {
 		j := d.jobs[id]
 		f.Num(int64(id), int64(j.class), int64(j.tenant), int64(j.giveUp), int64(j.aim), int64(j.due), int64(j.seq),
-			int64(j.live), int64(j.asked), int64(len(j.attempts)))
+			int64(j.live), int64(len(j.attempts)))
 		f.Real(j.work, j.slots)
 		f.Flag(j.over, j.held, j.late, j.hinted, j.streaming, j.finished)
 		for _, a := range j.attempts {
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -34,8 +34,6 @@
 	backoffMost  = 5     // doublings of the wait before a lost worker is tried again
 	retryRatio   = 0.2   // further attempts earned by each first one
 	kindFits     = 4.0   // own jobs that outweigh what is known of a worker's kind
-	probeRatio   = 5.0   // probes earned by each job: they have a price
-	probeBurst   = 25.0  // probes saved up at most
 	retryBurst   = 20    // further attempts saved up at most
 	hopeful      = 0.7   // part of its expected run that a held job is granted: estimates are rough
 	crowding     = 0.8   // cost of a fully busy worker, as a part of the run: others fill it unseen
@@ -55,8 +53,12 @@
 	sharers      = 8.0   // dispatchers that share a worker, about: each has a part of the fleet for its own
 	tellMost     = 12.0  // dispatchers that are told of a job, at the most: half as many again as sharers
 	leastPart    = 5.0   // workers in that part, at the least
+	few          = 8     // dispatchers that meet seldom enough to need no word of each other
+	blindSharers = 4.0   // like sharers, where nobody tells: own jobs show the more of a worker the fewer share it
+	blindPart    = 3.0   // like leastPart
+	blindTicks   = 32    // like ticksToStart: a crossing and a handshake are no wait
+	straying     = 0.5   // part of a run by which a choice strays, where all see the same and none tells
 	triersAtOnce = 2     // dispatchers that may try past a worker's cap within one run
-	probeTicks   = 50    // batches between two probes of a worker, at the least: a report is hardly fresher
 	logEvery     = 5_000_000
 	second       = 1_000_000
 	behind       = 1 << 60 // added to the due time of late jobs: after all that are on time
@@ -65,6 +67,9 @@
 // Step takes one event at its time and appends the actions that it calls for.
 func (d *Dispatcher) Step(now Micros, e *Event, out []Action) []Action {
 	d.now, d.out, d.best = now, out, 0
+	for _, k := range d.kinds {
+		k.delay = -1
+	}
 	switch e.Kind {
 	case Began:
 		d.born = now
@@ -96,13 +101,6 @@
 		d.housekeep()
 	case PeerTold:
 		d.hear(e)
-	case ProbeEnded:
-		if w := d.workers[e.Worker]; w != nil && e.Outcome != TimedOut {
-			w.answered = d.now
-			if e.Outcome == OK {
-				d.report(w, e.Report, 0)
-			}
-		}
 	}
 	d.release()
 	d.tell()
@@ -140,7 +138,6 @@
 	j.aim = min(begun+c.Aim+Micros(c.Stretch*j.work), begun+c.Deadline)
 	d.jobs[j.id] = j
 	d.retries = min(d.retries+retryRatio, retryBurst)
-	d.probes = min(d.probes+probeRatio, probeBurst)
 	st.arrived++
 	j.over = d.beyondShare(j.tenant, begun < d.now-d.set.Granularity)
 	d.worth += (d.value(j) - d.worth) / math.Min(float64(d.seq), 200)
@@ -414,53 +411,14 @@
 		if d.expired(j) {
 			continue // it left the held ones, or went behind
 		}
-		w := d.place(j, nil)
-		if w == nil || d.asks(j, w) || !d.send(j, w) {
-			if misses == 0 && w == nil {
-				d.probe()
-			}
+		w := d.place(j)
+		if w == nil || !d.send(j, w) {
 			misses++
 			i++
 		}
 	}
 }
 
-// probe asks workers for a report, while jobs wait and answers bring too few.
-// Cold workers are spared: a probe is work, too.
-func (d *Dispatcher) probe() {
-	if !d.set.MayProbe || !d.set.Reports {
-		return
-	}
-	old := d.now - probeTicks*d.set.Granularity
-	for _, w := range d.part {
-		if w.entry.Status == Ready && d.coldAt(w) == 0 && max(w.capAt, w.probed) <= old {
-			d.askReport(w)
-		}
-	}
-}
-
-// asks holds a job for a moment, once, if the last report of its worker is older
-// than a run: it and the next best are asked first, as others may have filled them.
-func (d *Dispatcher) asks(j *job, w *worker) bool {
-	if !d.outdated(w) {
-		return false
-	}
-	if j.asked == 0 {
-		j.asked = d.now
-		d.askReport(w)
-		if next := d.place(j, w); next != nil && d.outdated(next) {
-			d.askReport(next)
-		}
-	}
-	return d.now-j.asked < d.beat()
-}
-
-// outdated tells whether a worker's last report says little and a new one can be had.
-func (d *Dispatcher) outdated(w *worker) bool {
-	may := d.set.MayProbe && d.set.Reports && !d.set.TellsStart
-	return may && d.coldAt(w) == 0 && d.now-w.capAt > Micros(d.slots.value)
-}
-
 // guard is how long before the client gives up a held job is answered.
 func (d *Dispatcher) guard() Micros { return 2*d.set.Granularity + d.beat() }
 
@@ -511,10 +469,10 @@
 	return hopeful
 }
 
-// place picks the worker for a held job, or nil to hold it: the one, of those
-// that are not barred, with the least cost, the run and the wait expected there.
+// place picks the worker for a held job, or nil to hold it: the one with the least
+// cost, the run and the wait expected there.
 // A worker of another zone is taken only when that pays.
-func (d *Dispatcher) place(j *job, barred *worker) *worker {
+func (d *Dispatcher) place(j *job) *worker {
 	var near, far *worker
 	nearCost, farCost := math.Inf(1), math.Inf(1)
 	left := float64(j.aim - d.now)
@@ -523,7 +481,7 @@
 		from = d.order // its group may have no worker in our part
 	}
 	for _, w := range from {
-		if w == barred || !d.usable(w) {
+		if !d.usable(w) {
 			continue
 		}
 		taken, wait := d.taken(w), 0.0
@@ -537,17 +495,17 @@
 		if !d.fits(j, w) {
 			continue
 		}
-		run := j.work / d.speed(w)
+		run, delay := j.work/d.speed(w), d.delay(w)
 		// The aim is lost there but not everywhere: see expired. A cold worker may
 		// have it all the same where late answers earn, or a new fleet stands idle.
 		earns := d.coldAt(w) != 0 && d.set.Classes[j.class].LateWorth > 0
-		if !j.late && !earns && d.grant(j)*run > left {
+		if !j.late && !earns && delay+d.grant(j)*run > left {
 			continue
 		}
 		if w.fails > 0 {
 			wait += float64(d.set.ConnectTimeout)
 		}
-		cost := wait + run*(1+crowding*taken/max(1, most)+w.tilt)
+		cost := wait + delay + run*(1+crowding*taken/max(1, most)+w.tilt) + d.stray()
 		if d.set.CrossZonePrice == 0 || w.entry.Zone == d.set.Zone {
 			if cost < nearCost {
 				near, nearCost = w, cost
@@ -556,7 +514,7 @@
 			far, farCost = w, cost
 		}
 	}
-	if far == nil || near != nil && nearCost <= max(left, farCost) {
+	if far == nil || near != nil && nearCost <= d.further(farCost, left) {
 		return near
 	}
 	if near == nil && !d.crossPays(j) {
@@ -729,8 +687,11 @@
 	if !d.set.TellsStart {
 		d.filled(w, d.atWork(w))
 	}
-	if d.set.TellsStart && !a.overdue {
-		d.fitted(a, true)
+	if d.set.TellsStart {
+		d.waited(w, float64(at-a.sent))
+		if !a.overdue {
+			d.fitted(a, true)
+		}
 	}
 }
 
@@ -855,10 +816,6 @@
 	if w.entry.Status != Ready || d.now < w.blocked {
 		return false
 	}
-	// A worker that hangs takes jobs and probes alike, and answers none.
-	if late := d.now - w.probed; w.answered < w.probed && late > d.beat() && late < d.quiet() {
-		return d.panicking
-	}
 	if d.set.TellsStart && w.unstarted > 0 || d.queued(w) {
 		return false // its last job has not begun: it is full, or gone
 	}
@@ -914,7 +871,8 @@
 // coldAllows is rule 4. The budget of a cold worker is small against a job, and
 // a part for each dispatcher would fit none: all reckon the same owner from the
 // worker's number, who may use it whole, and nobody else sends there until it is
-// warm.
+// warm. Where many are blind, one would leave a cold fleet idle: there, so many of
+// those that cover it own it as have a job's worth of budget each.
 func (d *Dispatcher) coldAllows(j *job, w *worker) bool {
 	if d.coldAt(w) == 0 {
 		return true
@@ -928,6 +886,9 @@
 
 // owns tells whether this dispatcher may send to a worker while it is cold.
 func (d *Dispatcher) owns(w *worker) bool {
+	if d.blind() {
+		return d.gap(d.here, w) < d.reach*d.owners(w)/d.sharing()
+	}
 	source := random(w.entry.Worker)
 	return int(source.chance()*float64(d.set.Balancers)) == d.set.Me
 }
@@ -939,10 +900,13 @@
 // own it begins empty: what we sent before is unknown.
 func (d *Dispatcher) coldBudget(w *worker) float64 {
 	warmth := d.warmth(d.coldAt(w) + d.set.Fall) // as it was when the window began
-	rate := coldSlack / 2 * d.set.OverloadFactor * warmth * max(1, d.kind(w).most) * d.warmSpeed(w)
+	rate := d.coldRate(w) * warmth
 	if w.lost {
 		rate /= 2 * float64(d.set.Balancers) // anyone may find out whether it is back
 	}
+	if !w.lost {
+		rate /= d.owners(w)
+	}
 	most := rate * float64(d.set.Fall)
 	if w.budgetAt == 0 && d.now-d.born >= d.set.Fall {
 		w.budget += most // less what was under way there when its start was told
@@ -953,6 +917,20 @@
 	return most
 }
 
+// coldRate is the work that a worker may be sent in a unit of time per share of its capacity.
+func (d *Dispatcher) coldRate(w *worker) float64 {
+	return coldSlack / 2 * d.set.OverloadFactor * max(1, d.kind(w).most) * d.warmSpeed(w)
+}
+
+// owners is how many dispatchers own a cold worker, with an equal part of its budget each.
+func (d *Dispatcher) owners(w *worker) float64 {
+	if !d.blind() {
+		return 1
+	}
+	whole := 2 * d.coldRate(w) * d.set.ColdFrom * float64(d.set.Fall)
+	return max(1, min(d.sharing(), whole/max(d.slots.value, float64(d.set.Classes[0].Aim))))
+}
+
 // housekeep looks at what no event tells: overdue starts and silent workers.
 func (d *Dispatcher) housekeep() {
 	// Every held job is looked at: release stops at the first few without a place,
@@ -963,6 +941,9 @@
 		}
 	}
 	patience := ticksToStart * d.set.Granularity
+	if d.blind() {
+		patience = blindTicks * d.set.Granularity
+	}
 	limit := d.quiet()
 	for _, w := range d.busy {
 		if w.entry.Status == Ready {
@@ -1080,7 +1061,11 @@
 			ready = append(ready, w)
 		}
 	}
-	d.reach = min(1, zones*max(sharers/float64(d.set.Balancers), leastPart/max(1, float64(len(ready)))))
+	share, least := sharers, leastPart
+	if d.blind() {
+		share, least = blindSharers, blindPart
+	}
+	d.reach = min(1, zones*max(share/float64(d.set.Balancers), least/max(1, float64(len(ready)))))
 	d.near = d.near[:0]
 	for p := range d.peers {
 		if gap := math.Abs(d.peers[p].place - d.here); min(gap, 1-gap) < d.reach {
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -371,7 +371,7 @@
 		{Kind: AttemptNote, Job: 1, Note: NoteStarted}, {Kind: AttemptNote, Job: 1, Note: NoteProgress, Value: 1},
 		{Kind: AttemptEnded, Job: 1, Outcome: Reset}, {Kind: AttemptEnded, Job: 1, Outcome: OK, Final: true},
 		{Kind: ClientGone, Job: 1}, {Kind: AttemptEnded, Job: 77}, {Kind: AttemptNote, Job: 1, Attempt: -1},
-		{Kind: ProbeEnded, Worker: 99}, {Kind: PeerTold, Peer: 1, Message: []byte{1, 2}},
+		{Kind: PeerTold, Peer: 1, Message: []byte{1, 2}},
 		{Kind: PeerTold, Peer: 1 << 30, Message: make([]byte, peerMessage)}, {Kind: StreamBegan, Job: 5},
 		{Kind: AttemptEnded, Job: 1, Attempt: 9, Outcome: Reset}, {Kind: TimerRang, Token: 1 << 60},
 	} {
@@ -791,21 +791,6 @@
 	}
 }
 
-// Probes are for the moments when jobs wait on stale reports, and only then.
-func TestProbesSparingly(t *testing.T) {
-	s := testSettings()
-	s.TellsStart, s.MayProbe, s.Reports = false, true, true
-	b := newBench(t, s, ready(1, 0), WorkerEntry{Worker: 2, Status: Ready, Started: 99 * second})
-	b.d.workers[1].cap, b.d.workers[1].capAt = 1, b.now
-	b.want(b.arrive(1, 2), Probe, 0)
-	b.now += second / 2
-	b.want(b.arrive(2, 2), Probe, 1) // no place for it; the cold worker is spared
-	b.want(b.pass(probeTicks*s.Granularity-b.d.beat()), Probe, 0)
-	b.want(b.pass(2*b.d.beat()), Probe, 1)
-	news := Report{Known: true, Free: 1, Outstanding: 1}
-	b.want(b.do(Event{Kind: ProbeEnded, Worker: 1, Report: news}), Send, 1)
-}
-
 // Without hints the scale of work and speed is free; it once drifted until T_k
 // passed the deadline and (4) could not fail.
 func TestScaleWithoutHints(t *testing.T) {
@@ -915,32 +900,3 @@
 		}
 	}
 }
-
-// Reports are missing or old: the two best workers are asked before a job is
-// bound to one of them, it goes to the one that answers, and without an answer
-// it does not wait long.
-func TestOldReportsAreRenewedBeforeBinding(t *testing.T) {
-	s := testSettings()
-	s.TellsStart, s.MayProbe, s.Reports = false, true, true
-	fresh := func() *bench {
-		b := newBench(t, s, ready(1, 0), ready(2, 0), ready(3, 0))
-		for _, w := range b.d.order {
-			w.cap, w.capAt, w.slots = 2, b.now-10*second, 2
-		}
-		actions := b.arrive(1, 0)
-		b.want(actions, Send, 0)
-		b.want(actions, Probe, 2)
-		return b
-	}
-	b := fresh()
-	probed := find(b.out, Probe)
-	full, free := probed[0].Worker, probed[1].Worker
-	b.want(b.do(Event{Kind: ProbeEnded, Worker: full, Report: Report{Known: true, Outstanding: 2}}), Send, 0)
-	sent := b.do(Event{Kind: ProbeEnded, Worker: free, Report: Report{Known: true, Free: 2}})
-	b.want(sent, Send, 1)
-	if got := find(sent, Send)[0].Worker; got != free {
-		t.Errorf("sent to %d, want %d, which has free slots", got, free)
-	}
-	b = fresh()
-	b.want(b.pass(2*b.d.beat()), Send, 1) // probes lost
-}
--- a/estimates.go
+++ b/estimates.go
@@ -149,6 +149,9 @@
 	fits  [fitsKept + 1]fit
 	top   int    // most slots at which a job was seen to begin or wait
 	tried Micros // when more slots than its capacity were last tried
+
+	wait  waits
+	delay float64 // what wait and the jobs that wait now come to, in this event; below 0: not reckoned
 }
 
 const fitsKept = 32 // slots told apart
@@ -324,16 +327,24 @@
 	return err <= halfFleet*float64(len(d.part))
 }
 
+// blind tells whether there are many dispatchers and none tells another anything: what
+// they do together shows only in how long jobs wait.
+func (d *Dispatcher) blind() bool { return !d.set.MayTellPeers && d.set.Balancers > few }
+
 // sharing is how many dispatchers share a worker.
 func (d *Dispatcher) sharing() float64 { return d.reach * float64(d.set.Balancers) }
 
 // covers tells whether a worker is in the part of the dispatcher at a place.
 func (d *Dispatcher) covers(place float64, w *worker) bool {
-	gap := w.place - place
-	if gap < 0 {
-		gap++
+	return d.gap(place, w) < d.reach
+}
+
+// gap is how far on the circle a worker comes behind a place.
+func (d *Dispatcher) gap(place float64, w *worker) float64 {
+	if gap := w.place - place; gap >= 0 {
+		return gap
 	}
-	return gap < d.reach
+	return w.place - place + 1
 }
 
 // MostSlots is the most that a job can say it takes: far beyond any machine, and within
@@ -348,3 +359,75 @@
 	}
 	return min(said, MostSlots)
 }
+
+// waits is the mean of how long jobs waited at regions before they began. What was seen
+// wears off in the time that a job takes: by then others run there.
+type waits struct {
+	sum, n float64
+	at     Micros
+}
+
+func (s *waits) fade(now Micros, span float64) {
+	keep := math.Exp(-float64(now-s.at) / span)
+	s.sum, s.n, s.at = s.sum*keep, s.n*keep, now
+}
+
+func (s *waits) add(now Micros, span, wait float64) {
+	s.fade(now, span)
+	s.sum, s.n = s.sum+wait, s.n+1
+}
+
+// waited records how long a job waited at a worker.
+func (d *Dispatcher) waited(w *worker, wait float64) {
+	w.wait.add(d.now, d.memory(), wait)
+	d.kind(w).wait.add(d.now, kindMemory*d.memory(), wait)
+}
+
+// Of what a wait at one worker tells of the others.
+const (
+	kindMemory = 3.0 // for so many runs
+	kindWaits  = 0.5 // own waits that outweigh those of the kind
+)
+
+func (d *Dispatcher) memory() float64 { return max(d.slots.value, second/4) }
+
+// delay is how long a job would likely wait at a worker: as our last ones there did, and as
+// far as they do not tell, as those at its kind. One that waits now is on average half way.
+func (d *Dispatcher) delay(w *worker) float64 {
+	if !d.set.TellsStart || !d.blind() {
+		return 0
+	}
+	k := d.kind(w)
+	if k.delay < 0 {
+		k.wait.fade(d.now, kindMemory*d.memory())
+		sum, n := k.wait.sum, k.wait.n+1
+		for _, b := range d.busy {
+			for _, a := range b.live {
+				if b.kind == k && a.overdue && a.started == 0 {
+					sum, n = sum+2*float64(d.now-a.sent), n+1
+				}
+			}
+		}
+		k.delay = sum / n
+	}
+	w.wait.fade(d.now, d.memory())
+	return (w.wait.sum + k.delay*kindWaits) / (w.wait.n + kindWaits)
+}
+
+// stray is a part of a run by which the choice of a worker strays from the best one: all
+// dispatchers see much the same, and would send there together.
+func (d *Dispatcher) stray() float64 {
+	if !d.blind() {
+		return 0
+	}
+	return d.random.chance() * straying * d.memory()
+}
+
+// further is what a cost in another zone comes to here. Few dispatchers meet less when each
+// keeps to its zone while that is in time.
+func (d *Dispatcher) further(cost, left float64) float64 {
+	if !d.blind() {
+		return max(left, cost)
+	}
+	return cost + d.set.CrossZonePrice*left
+}
--- a/failures_test.go
+++ b/failures_test.go
@@ -292,7 +292,7 @@
 		{Kind: AttemptEnded, Job: 77, Attempt: 0, Worker: 1, Outcome: OK, Final: true},
 		{Kind: AttemptNote, Job: 77, Attempt: 3, Worker: 1, Note: NoteStarted},
 		{Kind: StreamBegan, Job: 77, Worker: 9}, {Kind: ClientGone, Job: 77},
-		{Kind: ProbeEnded, Worker: 9}, {Kind: TimerRang, Token: 1 << 40},
+		{Kind: TimerRang, Token: 1 << 40},
 		{Kind: PeerTold, Peer: -1, Message: []byte{0, 0, 0, 0, 1, 9, 9}},
 		{Kind: PeerTold, Peer: 99, Message: []byte{0, 0, 0, 0, 1, 9, 9}},
 		{Kind: PeerTold, Peer: 0, Message: []byte{1, 2}},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -71,7 +71,6 @@
 		MaxRetryAfter  int64 `json:"max_retry_after"`
 		MayDuplicate   bool  `json:"may_duplicate"`
 		Peers          bool  `json:"peers"`
-		Probes         bool  `json:"probes"`
 		RetryAfter     bool  `json:"retry_after"`
 	} `json:"limits"`
 	Prices struct {
@@ -109,7 +108,7 @@
 		Cold:        dahliaford.Micros(p.Guarantees.Cold),
 		ColdFrom:    p.Guarantees.ColdFrom, OverloadFactor: orElse(p.Guarantees.OverloadFactor, 1),
 		Fall: dahliaford.Micros(p.Guarantees.Fall), MaxAttempts: p.Limits.AttemptsCap,
-		MayCancel: p.Limits.Cancel, MayDuplicate: p.Limits.MayDuplicate, MayProbe: p.Limits.Probes,
+		MayCancel: p.Limits.Cancel, MayDuplicate: p.Limits.MayDuplicate,
 		MayTellPeers: p.Limits.Peers, ConnectTimeout: dahliaford.Micros(p.Limits.ConnectTimeout),
 		TellsStart: p.FamilyInfo.TellsStart, Progress: dahliaford.Micros(p.FamilyInfo.Progress),
 		CrossZonePrice: p.Prices.CrossZone,
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -255,11 +255,8 @@
 		e.Kind, e.Class, e.Tenant = dahliaford.JobArrived, m.class, m.tenant
 		e.Patience, e.Work = dahliaford.Micros(m.patience), dahliaford.Micros(m.estimate)
 		e.Slots = max(m.needs, m.memory)
-	case "completed", "status_back":
+	case "completed":
 		e.Kind, e.Final = dahliaford.AttemptEnded, m.terminal
-		if m.name == "status_back" {
-			e.Kind = dahliaford.ProbeEnded
-		}
 		outcome, known := outcomes[m.status]
 		if !known {
 			outcome = dahliaford.Failed // it may have run: the careful reading of a new code
--- a/internal/wire/encode.go
+++ b/internal/wire/encode.go
@@ -28,8 +28,6 @@
 		b = strconv.AppendUint(append(b, `,"tag":`...), a.Token, 10)
 	case dahliaford.WatchList:
 		b = append(open(b, "watch", who), `,"enable":true`...)
-	case dahliaford.Probe:
-		b = appendInt(open(b, "poll", who), `,"worker":`, int64(a.Worker))
 	case dahliaford.TellPeers:
 		b = appendInt(open(b, "write_peer", who), `,"dst":`, int64(a.Peer))
 		b = append(hex.AppendEncode(append(b, `,"blob":"`...), a.Message), '"')
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -146,7 +146,6 @@
 		`{"respond_error":{"who":3,"op_id":7}},`:          {Kind: dahliaford.Fail, Job: 7},
 		`{"retract":{"who":3,"op_id":7,"try":2}},`:        {Kind: dahliaford.Cancel, Job: 7, Attempt: 2},
 		`{"set_timer":{"who":3,"span":5,"tag":9}},`:       {Kind: dahliaford.SetTimer, Wait: 5, Token: 9},
-		`{"poll":{"who":3,"worker":8}},`:                  {Kind: dahliaford.Probe, Worker: 8},
 		`{"write_peer":{"who":3,"dst":4,"blob":"6869"}},`: {Kind: dahliaford.TellPeers, Peer: 4, Message: hi},
 		`{"write_log":{"who":3,"line":"a \"b\""}},`:       {Kind: dahliaford.Log, Text: `a "b"`},
 	} {
--- a/size_test.go
+++ b/size_test.go
@@ -106,9 +106,14 @@
 // All together keep the budget of a cold worker, though each of them has jobs that
 // find no other place, peers' words are lost, and some are started anew.
 func TestColdBudgetHoldsInSumAtSize(t *testing.T) {
+	t.Run("peers", func(t *testing.T) { coldBudgetHolds(t, nil) })
+	t.Run("blind", func(t *testing.T) { coldBudgetHolds(t, blind) })
+}
+
+func coldBudgetHolds(t *testing.T, change func(*Settings)) {
 	const balancers = 240
 	list := fleetList(24)
-	all := tier(t, balancers, list, alternating, nil)
+	all := tier(t, balancers, list, alternating, change)
 	for _, b := range all {
 		b.slots(list[0].Worker, 4)
 		b.slots(list[2].Worker, 4)
--- a/state.go
+++ b/state.go
@@ -37,7 +37,6 @@
 	tokens  []float64
 	tokenAt []Micros
 	retries float64
-	probes  float64 // probes that it may still send
 
 	level, gapped               int
 	severeRow, overRow, passRow int
@@ -118,7 +117,6 @@
 	held, late    bool
 	hinted        bool // the client told the work
 	streaming     bool
-	asked         Micros // when workers were asked for their reports on its behalf; 0: never
 	finished      bool
 }
 
@@ -129,13 +127,12 @@
 	used      float64 // slots of own live attempts
 	unstarted int
 	cap       float64            // slots this dispatcher may fill
-	answered  Micros             // when it last answered a probe
-	probed    Micros             // when it was last asked for a report
 	capAt     Micros             // when something last spoke against a larger cap
 	slots     float64            // slots that its reports add up to; 0: not known
 	blocked   Micros             // nothing before this: it said full
 	fits      *[fitsKept + 1]fit // nil: no job of ours told yet
 	pace      pace
+	wait      waits
 	sign      Micros // last sign of life
 	suspect   bool
 	trial     Micros  // when a suspect may be tried again
@@ -342,16 +339,6 @@
 	return slots, coming
 }
 
-// askReport probes a worker.
-func (d *Dispatcher) askReport(w *worker) {
-	if d.probes < 1 {
-		return
-	}
-	d.probes--
-	w.probed = d.now
-	d.emit(Action{Kind: Probe, Worker: w.entry.Worker})
-}
-
 // circle is the place of a dispatcher on the circle: steps of the golden section
 // spread any run of numbers evenly, and every second one, too.
 func circle(balancer int) float64 {
