--- a/blind_test.go
+++ b/blind_test.go
@@ -60,11 +60,7 @@
 
 // The same for the own zone: crossing costs a hundredth, waiting costs the job.
 func TestBlindDispatcherCrossesWhenItsZoneIsCrowded(t *testing.T) {
-	list := fleetList(60)
-	for i := range list {
-		list[i].Kind = list[i].Zone // as the wait is known by kind
-	}
-	b := member(t, 80, 3, list, 0, blind)
+	b := member(t, 80, 3, fleetList(60), 0, blind)
 	b.t = t
 	crowded := func(w *worker) Micros {
 		if w.entry.Zone == 0 {
--- a/copy.go
+++ b/copy.go
@@ -1,6 +1,7 @@
 package dahliaford
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 
@@ -22,10 +23,16 @@
 		copied := *k
 		c.kinds[n] = &copied
 	}
+	c.crowds = make(map[crowdKey]*crowd, len(d.crowds))
+	for key, known := range d.crowds {
+		copied := *known
+		c.crowds[key] = &copied
+	}
 	c.workers = make(map[WorkerID]*worker, len(d.workers))
 	for id, w := range d.workers {
 		copied := *w
 		n := &copied
+		n.crowd = nil // looked up anew
 		if w.kind != nil {
 			n.kind = c.kinds[w.entry.Kind]
 		}
@@ -123,10 +130,16 @@
 	for _, n := range slices.Sorted(maps.Keys(d.kinds)) {
 		k := d.kinds[n]
 		f.Num(int64(n), int64(k.top), int64(k.tried))
-		f.Real(k.work, k.time, k.most, k.wait.sum, k.wait.n)
-		f.Num(int64(k.wait.at))
+		f.Real(k.work, k.time, k.most)
 		fits(&k.fits)
 	}
+	for _, key := range slices.SortedFunc(maps.Keys(d.crowds), func(a, b crowdKey) int {
+		return cmp.Or(cmp.Compare(a.zone, b.zone), cmp.Compare(a.kind, b.kind))
+	}) {
+		c := d.crowds[key]
+		f.Num(int64(key.zone), int64(key.kind), int64(c.at))
+		f.Real(c.sum, c.n)
+	}
 	for _, list := range [][]*worker{d.order, d.part, d.busy, d.touched} {
 		f.Num(int64(len(list)))
 		for _, w := range list {
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -67,8 +67,8 @@
 // Step takes one event at its time and appends the actions that it calls for.
 func (d *Dispatcher) Step(now Micros, e *Event, out []Action) []Action {
 	d.now, d.out, d.best = now, out, 0
-	for _, k := range d.kinds {
-		k.delay = -1
+	for _, c := range d.crowds {
+		c.delay = -1
 	}
 	switch e.Kind {
 	case Began:
@@ -505,7 +505,7 @@
 		if w.fails > 0 {
 			wait += float64(d.set.ConnectTimeout)
 		}
-		cost := wait + delay + run*(1+crowding*taken/max(1, most)+w.tilt) + d.stray()
+		cost := wait + delay + run*(1+crowding*taken/max(1, most)+w.tilt) + d.stray(w)
 		if d.set.CrossZonePrice == 0 || w.entry.Zone == d.set.Zone {
 			if cost < nearCost {
 				near, nearCost = w, cost
@@ -1036,7 +1036,7 @@
 		if entry.Started > w.entry.Started { // known to be back: no need to find out
 			w.lost, w.fails, w.downUntil, w.budgetAt, w.budget = false, 0, 0, 0, -d.underWay(w)
 		}
-		w.entry, w.kind = entry, nil
+		w.entry, w.kind, w.crowd = entry, nil, nil
 	}
 	d.settle()
 }
--- a/estimates.go
+++ b/estimates.go
@@ -149,9 +149,6 @@
 	fits  [fitsKept + 1]fit
 	top   int    // most slots at which a job was seen to begin or wait
 	tried Micros // when more slots than its capacity were last tried
-
-	wait  waits
-	delay float64 // what wait and the jobs that wait now come to, in this event; below 0: not reckoned
 }
 
 const fitsKept = 32 // slots told apart
@@ -377,50 +374,70 @@
 	s.sum, s.n = s.sum+wait, s.n+1
 }
 
+// crowd is what is known of the waits at the workers of one kind in one zone: those that
+// all dispatchers find alike, and crowd together.
+type crowd struct {
+	waits
+	delay float64 // what they and the jobs that wait now come to, in this event; below 0: not reckoned
+}
+
+type crowdKey struct{ zone, kind int }
+
+func (d *Dispatcher) crowd(w *worker) *crowd {
+	if w.crowd == nil {
+		key := crowdKey{w.entry.Zone, w.entry.Kind}
+		if w.crowd = d.crowds[key]; w.crowd == nil {
+			w.crowd = &crowd{delay: -1}
+			d.crowds[key] = w.crowd
+		}
+	}
+	return w.crowd
+}
+
 // waited records how long a job waited at a worker.
 func (d *Dispatcher) waited(w *worker, wait float64) {
 	w.wait.add(d.now, d.memory(), wait)
-	d.kind(w).wait.add(d.now, kindMemory*d.memory(), wait)
+	d.crowd(w).add(d.now, crowdMemory*d.memory(), wait)
 }
 
 // Of what a wait at one worker tells of the others.
 const (
-	kindMemory = 3.0 // for so many runs
-	kindWaits  = 0.5 // own waits that outweigh those of the kind
+	crowdMemory = 12.0 // for so many runs
+	crowdWaits  = 0.5 // own waits that outweigh those of its crowd
 )
 
 func (d *Dispatcher) memory() float64 { return max(d.slots.value, second/4) }
 
 // delay is how long a job would likely wait at a worker: as our last ones there did, and as
-// far as they do not tell, as those at its kind. One that waits now is on average half way.
+// far as they do not tell, as those at its crowd. One that waits now is on average half way.
 func (d *Dispatcher) delay(w *worker) float64 {
 	if !d.set.TellsStart || !d.blind() {
 		return 0
 	}
-	k := d.kind(w)
-	if k.delay < 0 {
-		k.wait.fade(d.now, kindMemory*d.memory())
-		sum, n := k.wait.sum, k.wait.n+1
+	c := d.crowd(w)
+	if c.delay < 0 {
+		c.fade(d.now, crowdMemory*d.memory())
+		sum, n := c.sum, c.n+1
 		for _, b := range d.busy {
 			for _, a := range b.live {
-				if b.kind == k && a.overdue && a.started == 0 {
+				if d.crowd(b) == c && a.overdue && a.started == 0 {
 					sum, n = sum+2*float64(d.now-a.sent), n+1
 				}
 			}
 		}
-		k.delay = sum / n
+		c.delay = sum / n
 	}
 	w.wait.fade(d.now, d.memory())
-	return (w.wait.sum + k.delay*kindWaits) / (w.wait.n + kindWaits)
+	return (w.wait.sum + c.delay*crowdWaits) / (w.wait.n + crowdWaits)
 }
 
 // stray is a part of a run by which the choice of a worker strays from the best one: all
 // dispatchers see much the same, and would send there together.
-func (d *Dispatcher) stray() float64 {
+func (d *Dispatcher) stray(w *worker) float64 {
 	if !d.blind() {
 		return 0
 	}
-	return d.random.chance() * straying * d.memory()
+	return (d.random.chance()*0.25 + d.gap(d.here, w)/d.reach*0.5) * d.memory()
 }
 
 // further is what a cost in another zone comes to here. Few dispatchers meet less when each
--- a/state.go
+++ b/state.go
@@ -29,6 +29,7 @@
 	peers   []peer    // the dispatchers, by number
 	classes []classState
 	kinds   map[int]*kind
+	crowds  map[crowdKey]*crowd
 	slots   quantiles // run time x slots of all jobs
 	fleet   pace
 	best    float64 // fastest speed in this event; 0: not reckoned yet
@@ -64,7 +65,7 @@
 	}
 	n := max(1, len(s.Tenants))
 	d := &Dispatcher{set: s, random: random(seed), jobs: map[JobID]*job{}, workers: map[WorkerID]*worker{},
-		classes: make([]classState, len(s.Classes)), kinds: map[int]*kind{},
+		classes: make([]classState, len(s.Classes)), kinds: map[int]*kind{}, crowds: map[crowdKey]*crowd{},
 		tokens: make([]float64, n), tokenAt: make([]Micros, n), retries: retryBurst,
 		flows: make([]flow, n*len(s.Classes)*2), ranks: make([]int, len(s.Classes)*2)}
 	for i := range d.tokens {
@@ -133,6 +134,7 @@
 	fits      *[fitsKept + 1]fit // nil: no job of ours told yet
 	pace      pace
 	wait      waits
+	crowd     *crowd // of its zone and kind; nil: not looked up yet
 	sign      Micros // last sign of life
 	suspect   bool
 	trial     Micros  // when a suspect may be tried again
