Let those that share a cold region use six tenths of its allowance, not a third

Cause: coldBudget() refilled at a third of what the rule allows, as one owner may send its whole in a burst; of parts for five owners some always lie idle. Now the refill is 0.6 of the limit and the burst half of a window's refill.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -38,6 +38,7 @@
 	hopeful      = 0.7   // part of its expected run that a held job is granted: estimates are rough
 	crowding     = 0.8   // cost of a fully busy worker, as a part of the run: others fill it unseen
 	coldSlack    = 0.65  // part of a cold worker's budget that is used: its capacity and the works are guesses
+	coldShared   = 0.6   // the rate of the same that is used where many share it: parts of it lie idle
 	hintedPrior  = 2.0   // mean runs that a worker's own speed must outweigh, with cost hints
 	blindPrior   = 8.0   // the same without hints: single runs tell little
 	keepOwn      = 0.9   // what a new run leaves of the weight of a worker's earlier ones
@@ -908,6 +909,9 @@
 		rate /= d.owners(w)
 	}
 	most := rate * float64(d.set.Fall)
+	if d.blind() {
+		most /= 2 // the refill of a window and this are within the budget, as is a job too many from some
+	}
 	if w.budgetAt == 0 && d.now-d.born >= d.set.Fall {
 		w.budget += most // less what was under way there when its start was told
 	} else {
@@ -919,7 +923,11 @@
 
 // coldRate is the work that a worker may be sent in a unit of time per share of its capacity.
 func (d *Dispatcher) coldRate(w *worker) float64 {
-	return coldSlack / 2 * d.set.OverloadFactor * max(1, d.kind(w).most) * d.warmSpeed(w)
+	slack := coldSlack / 2
+	if d.blind() {
+		slack = coldShared
+	}
+	return slack * d.set.OverloadFactor * max(1, d.kind(w).most) * d.warmSpeed(w)
 }
 
 // owners is how many dispatchers own a cold worker, with an equal part of its budget each.
--- a/estimates.go
+++ b/estimates.go
@@ -403,7 +403,7 @@
 // Of what a wait at one worker tells of the others.
 const (
 	crowdMemory = 12.0 // for so many runs
-	crowdWaits  = 0.5 // own waits that outweigh those of its crowd
+	crowdWaits  = 0.5  // own waits that outweigh those of its crowd
 )
 
 func (d *Dispatcher) memory() float64 { return max(d.slots.value, second/4) }
