Give up jobs that still wait at a region when their aim is lost, and call them back

A job that had left was let run whatever had become of its aim. At fault: watch() and expired() look only at jobs that are held. Now a job that has not begun when its aim is lost is answered at once and withdrawn (giveUpLost), which gives its place in the queue to the next.

--- a/blind_test.go
+++ b/blind_test.go
@@ -139,3 +139,22 @@
 		}
 	}
 }
+
+// A job that waits at a region until its aim is lost is answered then, and called back: its
+// slot goes to the one behind it. What has begun is left to end.
+func TestJobThatWaitsPastItsAimIsGivenUp(t *testing.T) {
+	s := testSettings()
+	s.Classes[2].LateWorth = 0
+	b := newBench(t, s, ready(1, 0))
+	b.want(b.arrive(1, 2), Send, 1)
+	late := b.pass(s.Classes[2].Deadline - second)
+	b.want(late, Fail, 1) // it may have begun unheard: no refusal, as it must not run twice
+	b.want(late, Cancel, 1)
+
+	b = newBench(t, s, ready(1, 0))
+	b.want(b.arrive(1, 2), Send, 1)
+	b.do(Event{Kind: AttemptNote, Job: 1, Note: NoteStarted})
+	late = b.pass(s.Classes[2].Deadline - second)
+	b.want(late, Fail, 0)
+	b.want(late, Cancel, 0)
+}
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -51,14 +51,14 @@
 	visit        = 10    // seconds that one who came from another zone is told
 	peerMessage  = 7     // bytes: the sender's zone, worker, slots taken, slots of jobs that wait
 	ticksToTell  = 4     // batches until a job that has not begun is said to wait
-	sharers      = 8.0   // dispatchers that share a worker, about: each has a part of the fleet for its own
+	sharers      = 8.0   // dispatchers that share a worker of each zone, about
 	tellMost     = 12.0  // dispatchers that are told of a job, at the most: half as many again as sharers
 	leastPart    = 5.0   // workers in that part, at the least
 	few          = 8     // dispatchers that meet seldom enough to need no word of each other
 	blindSharers = 4.0   // like sharers, where nobody tells: own jobs show the more of a worker the fewer share it
 	blindPart    = 3.0   // like leastPart
 	blindTicks   = 32    // like ticksToStart: a crossing and a handshake are no wait
-	straying     = 0.5   // part of a run by which a choice strays, where all see the same and none tells
+	doubtful     = 0.7   // of the mean work: what many blind ones reckon with, as a queue forms before they see it
 	triersAtOnce = 2     // dispatchers that may try past a worker's cap within one run
 	logEvery     = 5_000_000
 	second       = 1_000_000
@@ -133,6 +133,9 @@
 	} else {
 		j.work = st.weighted(float64(c.Aim))
 	}
+	if !j.hinted && d.blind() { // most jobs are shorter than the mean, and lost sooner
+		j.work = doubtful * st.mean(float64(c.Aim))
+	}
 	// A repeat by the client counts from its first try: what is missing of the
 	// deadline has passed already.
 	begun := j.giveUp - c.Deadline
@@ -470,9 +473,8 @@
 	return hopeful
 }
 
-// place picks the worker for a held job, or nil to hold it: the one with the least
-// cost, the run and the wait expected there.
-// A worker of another zone is taken only when that pays.
+// place picks the worker for a held job, or nil to hold it: the one with the least cost, the
+// run and the wait expected there. One of another zone is taken only when that pays.
 func (d *Dispatcher) place(j *job) *worker {
 	var near, far *worker
 	nearCost, farCost := math.Inf(1), math.Inf(1)
@@ -948,12 +950,10 @@
 			i++
 		}
 	}
-	patience := ticksToStart * d.set.Granularity
-	if d.blind() {
-		patience = blindTicks * d.set.Granularity
-	}
+	patience := d.patience()
 	limit := d.quiet()
 	for _, w := range d.busy {
+		d.giveUpLost(w)
 		if w.entry.Status == Ready {
 			d.watch(w, patience, limit)
 		}
@@ -977,6 +977,18 @@
 	}
 }
 
+// giveUpLost answers jobs that still wait at a worker when their aim is lost. In its
+// queue they would take the time of those behind them and earn nothing.
+func (d *Dispatcher) giveUpLost(w *worker) {
+	for _, a := range w.live {
+		j := a.job
+		waits := a.overdue && a.started == 0 && !j.finished && j.live == 1
+		if waits && d.set.MayCancel && d.set.Classes[j.class].LateWorth == 0 && !d.inTime(j, hopeful) {
+			d.finish(j, true)
+		}
+	}
+}
+
 func (d *Dispatcher) watch(w *worker, patience, limit Micros) {
 	running, oldest := d.running(w), d.now
 	for _, a := range w.live {
@@ -1069,11 +1081,7 @@
 			ready = append(ready, w)
 		}
 	}
-	share, least := sharers, leastPart
-	if d.blind() {
-		share, least = blindSharers, blindPart
-	}
-	d.reach = min(1, zones*max(share/float64(d.set.Balancers), least/max(1, float64(len(ready)))))
+	d.reach = min(1, zones*d.share(len(ready)))
 	d.near = d.near[:0]
 	for p := range d.peers {
 		if gap := math.Abs(d.peers[p].place - d.here); min(gap, 1-gap) < d.reach {
--- a/estimates.go
+++ b/estimates.go
@@ -324,6 +324,23 @@
 	return err <= halfFleet*float64(len(d.part))
 }
 
+// share is the part of a zone's workers that is a dispatcher's own.
+func (d *Dispatcher) share(ready int) float64 {
+	share, least := sharers, leastPart
+	if d.blind() {
+		share, least = blindSharers, blindPart
+	}
+	return max(share/float64(d.set.Balancers), least/max(1, float64(ready)))
+}
+
+// patience is how long a job may take to begin before it is held to wait.
+func (d *Dispatcher) patience() Micros {
+	if d.blind() {
+		return blindTicks * d.set.Granularity
+	}
+	return ticksToStart * d.set.Granularity
+}
+
 // blind tells whether there are many dispatchers and none tells another anything: what
 // they do together shows only in how long jobs wait.
 func (d *Dispatcher) blind() bool { return !d.set.MayTellPeers && d.set.Balancers > few }
@@ -431,13 +448,19 @@
 	return (w.wait.sum + c.delay*crowdWaits) / (w.wait.n + crowdWaits)
 }
 
+// In parts of a run: how far a choice goes by chance, and by the place on the circle.
+const (
+	straying = 0.25
+	leaning  = 0.5
+)
+
 // stray is a part of a run by which the choice of a worker strays from the best one: all
 // dispatchers see much the same, and would send there together.
 func (d *Dispatcher) stray(w *worker) float64 {
 	if !d.blind() {
 		return 0
 	}
-	return (d.random.chance()*0.25 + d.gap(d.here, w)/d.reach*0.5) * d.memory()
+	return (d.random.chance()*straying + d.gap(d.here, w)/d.reach*leaning) * d.memory()
 }
 
 // further is what a cost in another zone comes to here. Few dispatchers meet less when each
