--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -382,7 +382,7 @@
 			discovery send
 			wait 60s
 			discovery expect nothing`,
-		"a reload asks another discovery for the whole table at once, and again": submit + `
+		"a reload asks another discovery for the whole table at once, and again": submit + begun + `
 			discovery expect watch d1 from 1
 			discovery send r2=ready
 			discovery send reload d2
