Learn waits that ended in giving up, and remember waits and errors of seldom met regions longer

It counts now, with twice its age, as it is given up half way on average. A dispatcher meets each of its regions every 3 s or so; errors wore off in 3 s and own waits in one run, so each met the same bad region anew.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -704,6 +704,9 @@
 		return
 	}
 	j, w := a.job, a.worker
+	if a.overdue && a.started == 0 && e.Outcome != Full && e.Outcome != Returned {
+		d.waited(a.worker, 2*float64(d.now-a.sent)) // it was given up half way, on average
+	}
 	d.leave(a)
 	d.judge(a, e)
 	if e.Outcome != Full && e.Outcome != Returned { // 'full' is surer than a report that promises slots
--- a/estimates.go
+++ b/estimates.go
@@ -288,9 +288,10 @@
 
 // Of what is known of a worker's errors. A healthy one hardly ever fails a job.
 const (
-	keepErrors = 0.6  // what an outcome leaves of those before it
-	mostErrors = 0.25 // the share from which on a worker is held to be failing jobs
-	errorsSpan = 3 * second
+	keepErrors  = 0.6  // what an outcome leaves of those before it
+	mostErrors  = 0.25 // the share from which on a worker is held to be failing jobs
+	errorsSpan  = 3 * second
+	blindErrors = 9 * second // the same where each of many meets a worker seldom
 )
 
 // erred records an outcome: 1 an error, 0 none.
@@ -301,7 +302,14 @@
 // errorShare is the recent share of errors. It wears off by itself, as a worker that is
 // shunned tells nothing.
 func (d *Dispatcher) errorShare(w *worker) float64 {
-	return w.errors * math.Exp(-float64(d.now-w.erredAt)/errorsSpan)
+	return w.errors * math.Exp(-float64(d.now-w.erredAt)/d.errorsSpan())
+}
+
+func (d *Dispatcher) errorsSpan() float64 {
+	if d.blind() {
+		return blindErrors
+	}
+	return errorsSpan
 }
 
 // errs tells whether a worker is held to be failing jobs.
@@ -413,7 +421,7 @@
 
 // waited records how long a job waited at a worker.
 func (d *Dispatcher) waited(w *worker, wait float64) {
-	w.wait.add(d.now, d.memory(), wait)
+	w.wait.add(d.now, ownMemory*d.memory(), wait)
 	d.crowd(w).add(d.now, crowdMemory*d.memory(), wait)
 }
 
@@ -421,6 +429,7 @@
 const (
 	crowdMemory = 12.0 // for so many runs
 	crowdWaits  = 0.5  // own waits that outweigh those of its crowd
+	ownMemory   = 6.0  // like crowdMemory, for the worker itself: it is met seldom
 )
 
 func (d *Dispatcher) memory() float64 { return max(d.slots.value, second/4) }
@@ -444,7 +453,7 @@
 		}
 		c.delay = sum / n
 	}
-	w.wait.fade(d.now, d.memory())
+	w.wait.fade(d.now, ownMemory*d.memory())
 	return (w.wait.sum + c.delay*crowdWaits) / (w.wait.n + crowdWaits)
 }
 
