Spread the calls for the service table over the fleet, at the start and after failures

Ruled out: the 4 s after which watch.go gives a call up (they ended at 2.0 s by 503), and a lost version (the watch goes on from it). At fault: Began asked at once, and listed() waited 0.5 to 1 s after a failure. A call is held lost after 4.5 s and not from 3 s on.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -75,7 +75,8 @@
 	case Began:
 		d.born = now
 		if d.set.AskForList {
-			d.ask()
+			d.askAt = d.now + d.turn(1)
+			d.housekeep() // asks at once where few do
 		}
 	case JobArrived:
 		d.arrive(e)
@@ -395,8 +396,7 @@
 			}
 		}
 	}
-	// (4) and (6) reckon with no more than arrives: guaranteed jobs that nobody
-	// sends take no room.
+	// (4) and (6) reckon with no more than arrives: what nobody sends takes no room.
 	seconds := (1 - math.Pow(keepMix, float64(d.refreshes))) / (1 - keepMix)
 	for k := range d.classes {
 		st := &d.classes[k]
@@ -1034,8 +1034,9 @@
 	if e.Scope == ListFailed {
 		if d.set.AskForList {
 			wait := Micros(float64(second) / 2 * (1 + d.random.chance()))
-			d.askAt = d.now + min(wait<<min(d.askFails, 6), d.set.AskWithin/3)
+			wait = min(wait<<min(d.askFails, 6), d.set.AskWithin/3)
 			d.askFails++
+			d.askAt = d.now + wait + d.turn(float64(min(d.askFails, 4)))
 			d.log("the worker list does not answer: the last one is used")
 		}
 		return
@@ -1111,7 +1112,7 @@
 // ask subscribes to the list, and asks again if no answer comes.
 func (d *Dispatcher) ask() {
 	d.emit(Action{Kind: WatchList})
-	d.askAt = d.now + Micros(float64(d.set.AskWithin)*(0.3+0.2*d.random.chance()))
+	d.askAt = d.now + Micros(float64(d.set.AskWithin)*(0.45+0.05*d.random.chance()))
 }
 
 // ---- Peers
--- a/estimates.go
+++ b/estimates.go
@@ -332,6 +332,18 @@
 	return err <= halfFleet*float64(len(d.part))
 }
 
+// turn is a wait by chance before the list is asked for, so long that all may do so with the
+// list's service keeping up: calls that wait too long there fail, and cost it as much.
+func (d *Dispatcher) turn(longer float64) Micros {
+	if d.set.Balancers <= few {
+		return 0
+	}
+	return Micros(d.random.chance() * longer * callTime * float64(d.set.Balancers))
+}
+
+// callTime is what a call costs the list's service, about.
+const callTime = 50 * second / 1000
+
 // share is the part of a zone's workers that is a dispatcher's own.
 func (d *Dispatcher) share(ready int) float64 {
 	share, least := sharers, leastPart
