Believe the errors that a region reports, for all classes, where many meet it seldom

A region's report tells of its errors a second, whoever's jobs they were, and nobody read it. Now a report of over 0.3 a second counts like an error that weighs 0.8, also with a job that went well, and all classes wait for another region.

--- a/api.go
+++ b/api.go
@@ -167,6 +167,7 @@
 	Known       bool // there is a count of free slots
 	Free        float64
 	Outstanding float64 // jobs held there, waiting ones too; negative: not told
+	Errors      float64 // errors a second, of all dispatchers' jobs
 }
 
 // Event is one thing that happened. Kind says which fields count.
--- a/blind_test.go
+++ b/blind_test.go
@@ -158,3 +158,26 @@
 	b.want(late, Fail, 0)
 	b.want(late, Cancel, 0)
 }
+
+// A region fails many jobs, and each dispatcher of 80 meets it every few seconds. Its report
+// tells what the others met there: one error is enough, for a class that may be repeated, too,
+// and a job that went well there by luck says nothing.
+func TestBlindDispatcherBelievesARegionsErrors(t *testing.T) {
+	for name, o := range map[string]Outcome{"an error": Failed, "luck": OK} {
+		b := member(t, 80, 3, fleetList(60), 0, func(s *Settings) {
+			blind(s)
+			s.Reports = true
+		})
+		b.t = t
+		bad := b.d.workers[find(b.arrive(1, 2), Send)[0].Worker]
+		b.do(Event{Kind: AttemptNote, Job: 1, Note: NoteStarted})
+		b.do(Event{Kind: AttemptEnded, Job: 1, Outcome: o, Final: o == OK,
+			Report: Report{Known: true, Free: 2, Outstanding: -1, Errors: 1.5}})
+		for id := JobID(2); b.now < 107*second; id++ {
+			if b.serve(id, func(*worker) Micros { return second / 500 }) == bad {
+				t.Errorf("%s: a job went there %v us later", name, b.now-100*second)
+				break
+			}
+		}
+	}
+}
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -753,7 +753,7 @@
 			w.cold, w.lost = d.now, false // back, so it started anew: cold before the list says so
 		}
 		w.fails = 0
-		d.erred(w, 0)
+		d.erred(w, 0, e.Report)
 		w.alive(d.now)
 		d.learnRun(a)
 	case Full, Returned:
@@ -765,7 +765,7 @@
 		d.setAside(w)
 	case Failed, Reset:
 		// Quick errors empty a worker and would draw more work to it.
-		d.erred(w, 1)
+		d.erred(w, 1, e.Report)
 		if w.fails++; w.fails >= failLimit {
 			w.fails--
 			d.setAside(w)
--- a/estimates.go
+++ b/estimates.go
@@ -288,15 +288,22 @@
 
 // Of what is known of a worker's errors. A healthy one hardly ever fails a job.
 const (
-	keepErrors  = 0.6  // what an outcome leaves of those before it
-	mostErrors  = 0.25 // the share from which on a worker is held to be failing jobs
-	errorsSpan  = 3 * second
-	blindErrors = 9 * second // the same where each of many meets a worker seldom
+	keepErrors   = 0.6  // what an outcome leaves of those before it
+	manyErrors   = 0.3  // errors a second that a report tells of, from which on it counts as one
+	keepReported = 0.2  // like keepErrors, with such a report
+	mostErrors   = 0.25 // the share from which on a worker is held to be failing jobs
+	errorsSpan   = 3 * second
+	blindErrors  = 9 * second // the same where each of many meets a worker seldom
 )
 
-// erred records an outcome: 1 an error, 0 none.
-func (d *Dispatcher) erred(w *worker, one float64) {
-	w.errors, w.erredAt = d.errorShare(w)*keepErrors+one*(1-keepErrors), d.now
+// erred records an outcome: 1 an error, 0 none. Many blind ones meet a worker seldom; its
+// report tells each of them what the others met there.
+func (d *Dispatcher) erred(w *worker, one float64, r Report) {
+	keep := keepErrors
+	if d.blind() && r.Known && r.Errors > manyErrors {
+		one, keep = 1, keepReported
+	}
+	w.errors, w.erredAt = d.errorShare(w)*keep+one*(1-keep), d.now
 }
 
 // errorShare is the recent share of errors. It wears off by itself, as a worker that is
@@ -320,7 +327,7 @@
 // the slots and finds out whether the errors last. When most workers err, there is
 // nothing better to wait for.
 func (d *Dispatcher) risky(j *job, w *worker) bool {
-	if d.set.Classes[j.class].Effect != Unsafe || !d.errs(w) {
+	if d.set.Classes[j.class].Effect != Unsafe && !d.blind() || !d.errs(w) {
 		return false
 	}
 	err := 0.0
--- a/internal/node/decode.go
+++ b/internal/node/decode.go
@@ -108,6 +108,8 @@
 		switch key {
 		case "x0":
 			r.Free, r.Known = in.Float64(), true
+		case "eps":
+			r.Errors = in.Float64()
 		case "inflight":
 			r.Outstanding = in.Float64()
 		default:
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -172,6 +172,8 @@
 			in.Skip()
 		case key == "x0":
 			m.report.Free, m.report.Known = in.Float64(), true
+		case key == "errors_per_s":
+			m.report.Errors = in.Float64()
 		case key == "outstanding":
 			m.report.Outstanding = in.Float64()
 		default:
