--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,9 +72,10 @@
 	unsent   scheduler.Task // the last one that was given up before anything got out
 	open     int            // links
 	mostOpen int
-	slots    chan struct{} // one taken for each client connection
-	reserve  int           // slots that those who wait for an answer may not take
-	asked    atomic.Bool   // room has been asked for, and not been made yet
+	keptFor  scheduler.Micros // that an idle link is used again
+	slots    chan struct{}    // one taken for each client connection
+	reserve  int              // slots that those who wait for an answer may not take
+	asked    atomic.Bool      // room has been asked for, and not been made yet
 	panics   int
 	draining atomic.Bool      // no new transactions are taken: health says so
 	calls    int              // withdrawals under way
@@ -98,6 +99,9 @@
 	n := &Node{cfg: cfg, log: log, listener: listener, inbox: make(chan any, inboxSize), start: time.Now(),
 		sched: sched, clients: map[*client]bool{}, callers: map[scheduler.Caller]*client{},
 		links: map[string][]*regionConn{}, tasks: map[scheduler.Task]*regionConn{}, mostOpen: usable / regionPart}
+	if n.keptFor = keptFor; cfg.Settings.Module.Balancers > fleet {
+		n.keptFor = keptInFleet
+	}
 	n.epoch = scheduler.Micros(n.start.UnixMicro())
 	most := usable - n.mostOpen
 	n.slots, n.reserve = make(chan struct{}, most), most/callbackPart
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -690,9 +690,33 @@
 }
 
 // A connection that has idled is let go, long before the region's limit: it may have
-// been closed without a word, and a job written to it would be lost.
+// been closed without a word, and a job written to it would be lost. In a large fleet it
+// is kept until the scheduler is likely back at the region, or each job would open one.
+func TestIdleConnectionsAreKeptByTheFleet(t *testing.T) {
+	for balancers, want := range map[int]int{3: 0, 80: 1} {
+		set, err := settings.Parse([]byte(strings.Replace(testSettings, `"balancers":1`,
+			fmt.Sprintf(`"balancers":%d`, balancers), 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		n, err := Listen(Config{Listen: "127.0.0.1:0", Settings: set}, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer n.listener.Close()
+		n.start = n.start.Add(-time.Minute)
+		for _, ago := range []scheduler.Micros{3 * second, second} {
+			n.links["r"] = append(n.links["r"], &regionConn{since: n.now() - ago, release: func() {}})
+		}
+		n.retireIdle()
+		if got := len(n.links["r"]); got != want {
+			t.Errorf("%d schedulers: %d connections kept, want %d", balancers, got, want)
+		}
+	}
+}
+
 func TestIdleConnectionsAreRetired(t *testing.T) {
-	n := &Node{start: time.Now().Add(-time.Minute), links: map[string][]*regionConn{}}
+	n := &Node{start: time.Now().Add(-time.Minute), links: map[string][]*regionConn{}, keptFor: keptFor}
 	for _, since := range []scheduler.Micros{0, 59 * second, 600 * second} {
 		n.links["r"] = append(n.links["r"], &regionConn{since: since, release: func() {}})
 	}
--- a/internal/node/region.go
+++ b/internal/node/region.go
@@ -32,10 +32,16 @@
 	ended struct{ conn *regionConn } // its descriptor is given back
 )
 
-// keptFor is how long a connection that idles is used again. The regions' machines may
-// close it at any time, and not all say so: the next request then ends as a reset, and
-// a job that must not run twice is lost. A new connection costs little against a job.
-const keptFor = 50 * millisecond
+// How long a connection that idles is used again. The regions' machines may close it at
+// any time, and not all say so: the next request then ends as a reset, and a job that must
+// not run twice is lost. A new connection costs little against a job. In a large fleet a
+// scheduler has few regions and comes back to each within seconds; there all schedulers
+// together would open a connection for each job and withdrawal, and a crossing waits for it.
+const (
+	keptFor     = 50 * millisecond
+	keptInFleet = 2000 * millisecond
+	fleet       = 8 // schedulers; more are a large fleet
+)
 
 const millisecond scheduler.Micros = 1000
 
@@ -125,7 +131,7 @@
 // retireIdle lets go connections that have idled too long to be used again.
 func (n *Node) retireIdle() {
 	for addr, idle := range n.links {
-		for len(idle) > 0 && n.now()-idle[0].since > keptFor {
+		for len(idle) > 0 && n.now()-idle[0].since > n.keptFor {
 			n.drop(idle[0])
 			idle = idle[1:]
 		}
