--- a/dispatcher.go
+++ b/dispatcher.go
@@ -55,10 +55,10 @@
 	tellMost     = 12.0  // dispatchers that are told of a job, at the most: half as many again as sharers
 	leastPart    = 5.0   // workers in that part, at the least
 	few          = 8     // dispatchers that meet seldom enough to need no word of each other
-	blindSharers = 4.0   // like sharers, where nobody tells: own jobs show the more of a worker the fewer share it
+	blindSharers = 4.0   // like sharers, where nobody tells: own jobs show more where fewer share
 	blindPart    = 3.0   // like leastPart
 	blindTicks   = 32    // like ticksToStart: a crossing and a handshake are no wait
-	doubtful     = 0.7   // of the mean work: what many blind ones reckon with, as a queue forms before they see it
+	doubtful     = 0.7   // of the mean work: what many blind ones reckon with
 	triersAtOnce = 2     // dispatchers that may try past a worker's cap within one run
 	logEvery     = 5_000_000
 	second       = 1_000_000
--- a/internal/node/decode.go
+++ b/internal/node/decode.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"fmt"
 
 	"github.com/mailru/easyjson/jlexer"
@@ -67,6 +68,13 @@
 			in.SkipRecursive()
 		}
 	})
+	switch { // what is no region must not pass for one: the table before it holds
+	case in.Error() != nil:
+	case r.UID == "":
+		in.AddError(errors.New("a region without a name"))
+	case r.Addr == "" && r.Status != dahliaford.Gone:
+		in.AddError(fmt.Errorf("region %q has no address", r.UID))
+	}
 	return r
 }
 
--- /dev/null
+++ b/internal/node/watch_test.go
@@ -0,0 +1,169 @@
+package node
+
+import (
+	"bytes"
+	"log/slog"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"dahliaford/internal/scheduler"
+	"dahliaford/internal/settings"
+)
+
+// lines is a log that tests read.
+type lines struct {
+	sync.Mutex
+	bytes.Buffer
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.Lock()
+	defer l.Unlock()
+	return l.Buffer.Write(b)
+}
+
+func (l *lines) count(text string) int {
+	l.Lock()
+	defer l.Unlock()
+	return strings.Count(l.String(), text)
+}
+
+const silence = "nothing"
+
+const watchHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func chunk(text string) string {
+	var b strings.Builder
+	for len(text) > 0 { // in parts, as a network would
+		n := min(len(text), 1<<16)
+		b.WriteString(strings.ToLower(hex(n)) + "\r\n" + text[:n] + "\r\n")
+		text = text[n:]
+	}
+	return b.String()
+}
+
+func hex(n int) string {
+	const digits = "0123456789abcdef"
+	if n < 16 {
+		return digits[n : n+1]
+	}
+	return hex(n/16) + digits[n%16:n%16+1]
+}
+
+// Whatever discovery does wrong, the last good table holds, the log has one line for it,
+// and discovery is asked again.
+func TestDiscoveryGoesWrong(t *testing.T) {
+	gone := `{"rev":9,"all":true,"targets":[{"uid":"s-1","endpoint":"h:1","az":"a","model":"m","state":"gone"}`
+	for name, say := range map[string]string{
+		"answers 503":           "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+		"resets":                "",
+		"answers no HTTP":       "hello\r\n\r\n",
+		"malformed table":       watchHead + chunk(gone+"]\n"),
+		"cut off in an object":  watchHead + chunk(gone),
+		"cut off in a chunk":    watchHead + "ffff\r\n" + gone,
+		"no name in a line":     watchHead + chunk(`{"rev":9,"targets":[{"state":"gone"}]}`+"\n"),
+		"no address in a line":  watchHead + chunk(`{"rev":9,"targets":[{"uid":"x","state":"ready"}]}`+"\n"),
+		"a line without an end": watchHead + chunk(strings.Repeat(" ", longestLine+2)),
+		"says nothing":          silence,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			asked := make(chan string, 100)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			go func() {
+				for {
+					c, err := l.Accept()
+					if err != nil {
+						return
+					}
+					go func() {
+						defer c.Close()
+						b := make([]byte, 1<<12)
+						n, _ := c.Read(b)
+						first, _, _ := strings.Cut(string(b[:n]), "\r\n")
+						asked <- first
+						switch say {
+						case "":
+							c.(*net.TCPConn).SetLinger(0)
+						case silence:
+							c.Read(b) // until the other side has enough
+						default:
+							c.Write([]byte(say))
+						}
+					}()
+				}
+			}()
+			set, err := settings.Parse([]byte(testSettings))
+			if err != nil {
+				t.Fatal(err)
+			}
+			line := regionLine("s-1", "127.0.0.1:1")
+			known, err := DecodeTable([]byte(`{"rev":4,"all":true,"targets":[` + line + `]}`))
+			if err != nil {
+				t.Fatal(err)
+			}
+			log := &lines{}
+			cfg := Config{Listen: "127.0.0.1:0", Settings: set, Known: known, Discovery: l.Addr().String()}
+			n, err := Listen(cfg, slog.New(slog.NewTextHandler(log, nil)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			done := make(chan error, 1)
+			go func() { done <- n.Run() }()
+			for range 2 {
+				select {
+				case got := <-asked: // from the version that it has: nothing of the bad one was taken
+					if want := "GET " + membersPath + "?watch=1&from=4 HTTP/1.1"; got != want {
+						t.Errorf("asked %q, want %q", got, want)
+					}
+				case <-time.After(patience):
+					t.Fatal("discovery is not asked again")
+				}
+			}
+			if got := log.count("watch of the service table lost"); got != 1 {
+				t.Errorf("%d lines in the log for one watch", got)
+			}
+			n.Stop()
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// A table of thousands of regions is taken, in a fraction of a second.
+func TestHugeTable(t *testing.T) {
+	var all []string
+	for len(all) < 20_000 {
+		all = append(all, regionLine("s-"+hex(len(all)), "127.0.0.1:1"))
+	}
+	line := `{"rev":5,"all":true,"targets":[` + strings.Join(all, ",") + `]}`
+	if len(line) > longestLine {
+		t.Fatalf("%d bytes are no table that is read", len(line))
+	}
+	table, err := DecodeTable([]byte(line))
+	if err != nil || len(table.Regions) != 20_000 {
+		t.Fatalf("%d regions, %v", len(table.Regions), err)
+	}
+	set, err := settings.Parse([]byte(testSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := scheduler.New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Step(1, scheduler.Began{Known: table}, nil)
+	began := time.Now()
+	s.Step(2, scheduler.TableRead{Table: table}, nil) // told twice: no harm
+	if took := time.Since(began); took > 5*time.Second {
+		t.Errorf("took %v", took)
+	}
+}
--- /dev/null
+++ b/internal/scheduler/size_test.go
@@ -0,0 +1,82 @@
+package scheduler
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"dahliaford"
+	"dahliaford/internal/settings"
+)
+
+// fleetOf starts a scheduler of a fleet.
+func fleetOf(t testing.TB, schedulers, regions int) *Scheduler {
+	t.Helper()
+	set, err := settings.Parse([]byte(strings.Replace(testSettings, `"balancers":1`,
+		fmt.Sprintf(`"balancers":%d`, schedulers), 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := New(set, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	table := Table{Rev: 1, All: true}
+	for i := range regions {
+		r := line(fmt.Sprintf("r%d", i), dahliaford.Ready)
+		r.Kind = fmt.Sprintf("m%d", i%2)
+		table.Regions = append(table.Regions, r)
+	}
+	s.Step(1000*second, Began{Discovery: "d1", Known: table}, nil)
+	return s
+}
+
+// jobs passes so many jobs through, each with all its events. Some are always out.
+func jobs(t testing.TB, s *Scheduler, n int) {
+	now, out := s.now, []Effect(nil)
+	for range n {
+		now += second / 4
+		id := fmt.Sprint("a", now)
+		out = s.Step(now, Submitted{Caller: Caller(now), ID: id, Class: "post", Tenant: "sahel",
+			Deadline: now + 5*second}, out[:0])
+		i := slices.IndexFunc(out, func(e Effect) bool { _, is := e.(Route); return is })
+		if i < 0 {
+			t.Fatalf("%s is not sent: %v", id, out)
+		}
+		r := out[i].(Route)
+		s.Step(now+1000, Accepted{Task: r.Task}, nil)
+		s.Step(now+2000, Told{ID: id, From: r.UID, News: NewsStarted}, nil)
+		s.Step(now+100_000, Woke{}, nil)
+		s.Step(now+200_000, Told{ID: id, From: r.UID, News: NewsDone}, nil)
+	}
+}
+
+// The cost of a job does not grow with the fleet: a scheduler of 80 has its part of it.
+func TestCostOfAJobAtSize(t *testing.T) {
+	took := func(schedulers, regions int) time.Duration {
+		least := time.Hour
+		for range 7 { // the least is what the work takes, whatever else the machine does
+			s := fleetOf(t, schedulers, regions)
+			began := time.Now()
+			jobs(t, s, 400)
+			least = min(least, time.Since(began))
+		}
+		return least
+	}
+	if small, large := took(3, 10), took(80, 60); large > 4*small {
+		t.Errorf("400 jobs take %v of one of 3 with 10 regions, and %v of one of 80 with 60", small, large)
+	}
+}
+
+func BenchmarkJob(b *testing.B) {
+	for _, size := range [][2]int{{3, 10}, {80, 60}} {
+		b.Run(fmt.Sprintf("%d schedulers, %d regions", size[0], size[1]), func(b *testing.B) {
+			s := fleetOf(b, size[0], size[1])
+			b.ReportAllocs()
+			b.ResetTimer()
+			jobs(b, s, b.N)
+		})
+	}
+}
