Forget regions that have been gone for ten minutes

Need: nothing unbounded. Every region that a table ever named stayed in the reducer's and the module's books, and each table was sorted with all of them; a fleet that is replaced daily would have filled them. A region that is gone for ten minutes, or two of the longest deadlines, and has nothing out is dropped; one that comes back is as new. Tests replace 200 regions one a minute.

--- a/blind_test.go
+++ b/blind_test.go
@@ -181,3 +181,16 @@
 		}
 	}
 }
+
+// The same in the module: see the reducer's test.
+func TestWorkersThatWentAreForgotten(t *testing.T) {
+	b := newBench(t, testSettings(), ready(1, 0))
+	for i := WorkerID(1); i < 200; i++ {
+		b.now += 60 * second
+		b.do(Event{Kind: ListChanged, Workers: []WorkerEntry{{Worker: i, Status: Gone}, ready(i+1, 0)}})
+	}
+	if n := len(b.d.order); n > 15 || len(b.d.workers) != n {
+		t.Errorf("%d workers in order, %d by number, 1 in the list", n, len(b.d.workers))
+	}
+	b.want(b.arrive(1, 0), Send, 1)
+}
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -1062,6 +1062,7 @@
 		}
 		w.entry, w.kind, w.crowd = entry, nil, nil
 	}
+	d.forget()
 	d.settle()
 }
 
@@ -1219,7 +1220,6 @@
 	w.sign, w.suspect = now, false
 }
 
-// sameGroup tells whether two workers drop each other's repeats.
 func sameGroup(g Group, a, b *WorkerEntry) bool {
 	switch g {
 	case GroupAll:
--- a/internal/scheduler/copy.go
+++ b/internal/scheduler/copy.go
@@ -112,6 +112,7 @@
 		f.Text(r.Zone)
 		f.Text(r.Kind)
 		f.Flag(r.retired)
+		f.Num(int64(r.gone))
 	}
 	dues := slices.Clone(s.due)
 	slices.SortFunc(dues, func(a, b due) int {
--- a/internal/scheduler/size_test.go
+++ b/internal/scheduler/size_test.go
@@ -80,3 +80,25 @@
 		})
 	}
 }
+
+// A fleet whose regions are replaced for good does not fill the books: those that went long
+// ago are forgotten, and one that comes back is as new.
+func TestRegionsThatWentAreForgotten(t *testing.T) {
+	s := fleetOf(t, 80, 10)
+	replace := func(i int) {
+		old, next := line(fmt.Sprintf("r%d", i), dahliaford.Gone), line(fmt.Sprintf("r%d", i+10), dahliaford.Ready)
+		s.Step(s.now+60*second, TableRead{Table: Table{Rev: int64(i + 2), Regions: []Region{old, next}}}, nil)
+	}
+	for i := range 200 { // one a minute
+		replace(i)
+	}
+	if n := len(s.regions); n > 25 || n < 10 || len(s.byNumber) != n {
+		t.Errorf("%d regions and %d numbers in the books, 10 in the table", n, len(s.byNumber))
+	}
+	before := len(s.regions)
+	s.Step(s.now+second, TableRead{Table: Table{Rev: 999, Regions: []Region{line("r0", dahliaford.Ready)}}}, nil)
+	if r := s.regions["r0"]; r == nil || r.Status != dahliaford.Ready || len(s.regions) != before+1 {
+		t.Errorf("one that came back is %+v", r)
+	}
+	jobs(t, s, 10)
+}
--- a/state.go
+++ b/state.go
@@ -138,6 +138,7 @@
 	sign      Micros // last sign of life
 	suspect   bool
 	trial     Micros  // when a suspect may be tried again
+	gone      Micros  // since when the list has it gone; 0: it has not
 	fails     int     // failures in a row
 	errors    float64 // recent share of errors, when erredAt
 	erredAt   Micros
@@ -209,6 +210,31 @@
 	j.held = false
 }
 
+// goneFor is how long a worker that is gone stays in the books: it may come back, and what
+// was learned of it holds. A fleet that is replaced for years must not fill them.
+const goneFor = 600 * second
+
+// forget drops workers that have been gone for long.
+func (d *Dispatcher) forget() {
+	long := Micros(goneFor) // and no open job has an attempt there
+	for i := range d.set.Classes {
+		long = max(long, 2*d.set.Classes[i].Deadline)
+	}
+	d.order = slices.DeleteFunc(d.order, func(w *worker) bool {
+		switch {
+		case w.entry.Status != Gone:
+			w.gone = 0
+		case w.gone == 0:
+			w.gone = max(d.now, 1)
+		}
+		old := w.gone != 0 && d.now-w.gone >= long && len(w.live) == 0 && !w.touched
+		if old {
+			delete(d.workers, w.entry.Worker)
+		}
+		return old
+	})
+}
+
 // attempt finds the live attempt that an event is about, or nil.
 func (d *Dispatcher) attempt(e *Event) *attempt {
 	j := d.jobs[e.Job]
