--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -229,6 +229,8 @@
 		}
 	case scheduler.Event:
 		return n.step(m)
+	case func(): // a look at what the loop owns, for tests
+		m()
 	}
 	return nil
 }
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -183,8 +183,11 @@
 
 // Wait knows one thing to wait for: the end of the node.
 func (w *world) Wait(text string) error {
+	if text, is := strings.CutPrefix(text, "open "); is {
+		return w.waitOpen(text)
+	}
 	if text != "end" {
-		return errors.New("here only the end is waited for")
+		return errors.New("here only the end and open jobs are waited for")
 	}
 	select {
 	case err := <-w.done:
@@ -195,6 +198,18 @@
 	}
 }
 
+// waitOpen waits until so many jobs are open at the node.
+func (w *world) waitOpen(want string) error {
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		open := make(chan int, 1)
+		w.node.post(func() { open <- len(w.node.callers) })
+		if fmt.Sprint(<-open) == want {
+			return nil
+		}
+	}
+	return errors.New("the jobs did not all come")
+}
+
 // Send writes a message: " | " parts its lines, and a body follows " || ".
 func (p *party) Send(text string) error {
 	if p.conn == nil && p.listener == nil {
@@ -509,6 +524,7 @@
 		script += fmt.Sprintf("c%d send job post a%d || x\n", i, i)
 		script += fmt.Sprintf("last%d send GET /_health\nlast%d expect 200\n", i, i)
 	}
+	script += fmt.Sprintf("wait open %d", most) // or the last of them may come behind the next
 	play(t, w, script+`
 		more send job post b || x
 		more expect 503 after 0 close
