Tell lack of room for a connection apart from a region that is gone

Need: a region whose table of connections is full turned a connect down, and was set aside like one that is gone, for seconds. A connect that is refused or reset while another connection of ours to the region stands is lack of room: a process that is gone would have reset that one, and a machine that is gone turns nothing down. The job counts as turned away, never run.

--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"log/slog"
 	"net"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -692,6 +694,34 @@
 	}
 }
 
+// A connect that is turned down while another connection to the region stands is lack of
+// room; without one, or when it just never comes up, the region is taken to be gone.
+func TestLackOfRoomIsNotTheEndOfARegion(t *testing.T) {
+	refused := &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", syscall.ECONNREFUSED)}
+	slow := &net.OpError{Op: "dial", Err: os.ErrDeadlineExceeded}
+	idle, other := &regionConn{addr: "r1"}, &regionConn{addr: "r2"}
+	working := &regionConn{addr: "r1"}
+	working.Written = true
+	for name, c := range map[string]struct {
+		links map[string][]*regionConn
+		tasks map[scheduler.Task]*regionConn
+		err   error
+		want  bool
+	}{
+		"one idles":              {links: map[string][]*regionConn{"r1": {idle}}, err: refused, want: true},
+		"one works":              {tasks: map[scheduler.Task]*regionConn{1: working}, err: refused, want: true},
+		"none":                   {err: refused},
+		"one to another":         {links: map[string][]*regionConn{"r2": {other}}, err: refused},
+		"one that dials":         {tasks: map[scheduler.Task]*regionConn{1: idle}, err: refused},
+		"one idles, but silence": {links: map[string][]*regionConn{"r1": {idle}}, err: slow},
+	} {
+		n := &Node{links: c.links, tasks: c.tasks}
+		if got := n.noRoom(&regionConn{addr: "r1"}, c.err); got != c.want {
+			t.Errorf("%s: lack of room is %v", name, got)
+		}
+	}
+}
+
 // A module that cannot be started anew ends the program aloud, not in silence.
 func TestModuleBeyondRepair(t *testing.T) {
 	set, _ := settings.Parse([]byte(testSettings))
--- a/internal/node/region.go
+++ b/internal/node/region.go
@@ -193,9 +193,32 @@
 
 func (n *Node) linkWrote(m wrote) error {
 	next, e := m.conn.Wrote(m.err != nil, errors.Is(m.err, syscall.ECONNREFUSED))
+	if end, is := e.(scheduler.Ended); is && end.Outcome == dahliaford.ConnectFailed && n.noRoom(m.conn, m.err) {
+		n.log.Info("a region has no room for another connection", "region", m.conn.addr, "txn", m.conn.id)
+		end.Outcome = dahliaford.Full
+		e = end
+	}
 	return n.linkNext(m.conn, next, e, m.err)
 }
 
+// noRoom tells whether a region lacks room for a connection: it turns one down at once while
+// others of ours stand. A process that is gone would have reset those, and a machine that is
+// gone turns nothing down. Lack of room is no sickness: the region is not set aside for it.
+func (n *Node) noRoom(c *regionConn, cause error) bool {
+	if !errors.Is(cause, syscall.ECONNREFUSED) && !errors.Is(cause, syscall.ECONNRESET) {
+		return false
+	}
+	if len(n.links[c.addr]) > 0 {
+		return true
+	}
+	for _, o := range n.tasks {
+		if o != c && o.addr == c.addr && o.Written {
+			return true
+		}
+	}
+	return false
+}
+
 func (n *Node) linkBroke(c *regionConn) error {
 	next, e := c.Broke()
 	if next == link.Drop && e == nil { // it idled
