--- a/blind_test.go
+++ b/blind_test.go
@@ -194,3 +194,16 @@
 	}
 	b.want(b.arrive(1, 0), Send, 1)
 }
+
+// A job that is withdrawn before it began never says how long it would have waited; its
+// region is as full as one where a job began late, and must not look free.
+func TestBlindDispatcherLearnsFromAJobThatNeverBegan(t *testing.T) {
+	b := member(t, 80, 3, fleetList(60), 0, blind)
+	b.t = t
+	w := b.d.workers[find(b.arrive(1, 2), Send)[0].Worker]
+	b.want(b.pass(7*second), Cancel, 1)
+	b.end(1, 0, Cancelled)
+	if got := b.d.delay(w); got < second {
+		t.Errorf("a wait of %.1f s is expected where a job waited for seconds", got/second)
+	}
+}
