Keep one test for a large fleet and one span for regions that are gone

A review of the fleet work; no decision changes. - The module's 8 dispatchers and the node's 8 schedulers were two constants for one thing: Settings.LargeFleet. The ten minutes after which a gone region is dropped, and the longest deadline beside it, were reckoned in the reducer and in the module: Settings.GoneFor. - The reducer's region kept a flag and a time of which one follows from the other. - Waits are booked only where they are read. The work of a job without a hint is reckoned in one place. Began asks for the list itself, not by way of the housekeeping. - Tests: a bench knows its test, two tests share the counting of choices, chunks and settings are made once, and a comment stands by its own test again. - Comments that no longer held (coldBudget, risky, waits) say what the code does.

--- a/blind_test.go
+++ b/blind_test.go
@@ -27,13 +27,24 @@
 	return w
 }
 
+// chosen serves 20 jobs, by which the waits become known, and counts of 20 more those that go
+// to some of the workers.
+func (b *bench) chosen(wait func(*worker) Micros, some func(*worker) bool) (n int) {
+	b.t.Helper()
+	for i := range 40 {
+		if w := b.serve(JobID(i), wait); i >= 20 && some(w) {
+			n++
+		}
+	}
+	return n
+}
+
 // Jobs wait long at one kind of worker though this dispatcher has hardly any there: the
 // others do. Then the other kind gets its jobs, and the faster one is not chosen for its
 // speed alone.
 func TestBlindDispatcherLeavesAKindWhereJobsWait(t *testing.T) {
 	list := fleetList(60)
 	b := member(t, 80, 3, list, 0, blind)
-	b.t = t
 	for i := range 4 {
 		b.slots(list[i].Worker, 2)
 		b.d.kind(b.d.workers[list[i].Worker]).pace = pace{20 * second, float64(10 * second * (1 + list[i].Kind))}
@@ -44,15 +55,7 @@
 		}
 		return second / 500
 	}
-	for i := range 20 { // so many until both are known
-		b.serve(JobID(i), crowded)
-	}
-	there := 0
-	for i := range 20 {
-		if b.serve(JobID(100+i), crowded).entry.Kind == 0 {
-			there++
-		}
-	}
+	there := b.chosen(crowded, func(w *worker) bool { return w.entry.Kind == 0 })
 	if there > 4 {
 		t.Errorf("%d of 20 jobs went where the last ones had to wait", there)
 	}
@@ -61,22 +64,13 @@
 // The same for the own zone: crossing costs a hundredth, waiting costs the job.
 func TestBlindDispatcherCrossesWhenItsZoneIsCrowded(t *testing.T) {
 	b := member(t, 80, 3, fleetList(60), 0, blind)
-	b.t = t
 	crowded := func(w *worker) Micros {
 		if w.entry.Zone == 0 {
 			return second
 		}
 		return second / 100
 	}
-	for i := range 20 {
-		b.serve(JobID(i), crowded)
-	}
-	crossed := 0
-	for i := range 20 {
-		if b.serve(JobID(100+i), crowded).entry.Zone == 1 {
-			crossed++
-		}
-	}
+	crossed := b.chosen(crowded, func(w *worker) bool { return w.entry.Zone == 1 })
 	if crossed < 12 {
 		t.Errorf("%d of 20 jobs crossed to the zone that is free", crossed)
 	}
@@ -112,7 +106,6 @@
 	}
 	idle := 0
 	for i, b := range all {
-		b.t = t
 		b.slots(list[0].Worker, 2)
 		b.slots(list[2].Worker, 3)
 		b.do(Event{Kind: ListChanged, Workers: list})
@@ -131,7 +124,6 @@
 // no wait, and says nothing of the worker's slots.
 func TestBlindDispatcherTakesACrossingForNoWait(t *testing.T) {
 	b := member(t, 80, 3, fleetList(60), 0, blind)
-	b.t = t
 	for i := range 10 {
 		w := b.serve(JobID(i), func(*worker) Micros { return 40_000 })
 		if of := b.d.fit(w, 1); of.late > 0 {
@@ -168,7 +160,6 @@
 			blind(s)
 			s.Reports = true
 		})
-		b.t = t
 		bad := b.d.workers[find(b.arrive(1, 2), Send)[0].Worker]
 		b.do(Event{Kind: AttemptNote, Job: 1, Note: NoteStarted})
 		b.do(Event{Kind: AttemptEnded, Job: 1, Outcome: o, Final: o == OK,
@@ -199,7 +190,6 @@
 // region is as full as one where a job began late, and must not look free.
 func TestBlindDispatcherLearnsFromAJobThatNeverBegan(t *testing.T) {
 	b := member(t, 80, 3, fleetList(60), 0, blind)
-	b.t = t
 	w := b.d.workers[find(b.arrive(1, 2), Send)[0].Worker]
 	b.want(b.pass(7*second), Cancel, 1)
 	b.end(1, 0, Cancelled)
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -75,8 +75,9 @@
 	case Began:
 		d.born = now
 		if d.set.AskForList {
-			d.askAt = d.now + d.turn(1)
-			d.housekeep() // asks at once where few do
+			if d.askAt = d.now + d.turn(1); d.askAt == d.now {
+				d.ask()
+			}
 		}
 	case JobArrived:
 		d.arrive(e)
@@ -132,10 +133,7 @@
 		d.hints = true
 		st.seen(j.work)
 	} else {
-		j.work = st.weighted(float64(c.Aim))
-	}
-	if !j.hinted && d.blind() { // most jobs are shorter than the mean, and lost sooner
-		j.work = doubtful * st.mean(float64(c.Aim))
+		j.work = d.unhinted(st, float64(c.Aim))
 	}
 	// A repeat by the client counts from its first try: what is missing of the
 	// deadline has passed already.
@@ -704,12 +702,13 @@
 		return
 	}
 	j, w := a.job, a.worker
-	if a.overdue && a.started == 0 && e.Outcome != Full && e.Outcome != Returned {
-		d.waited(a.worker, 2*float64(d.now-a.sent)) // it was given up half way, on average
+	turnedAway := e.Outcome == Full || e.Outcome == Returned
+	if a.overdue && a.started == 0 && !turnedAway {
+		d.waited(w, 2*float64(d.now-a.sent)) // it was given up half way, on average
 	}
 	d.leave(a)
 	d.judge(a, e)
-	if e.Outcome != Full && e.Outcome != Returned { // 'full' is surer than a report that promises slots
+	if !turnedAway { // 'full' is surer than a report that promises slots
 		d.report(w, e.Report, j.slots)
 	}
 	a.ran, a.back = mayHaveRun(e.Outcome), e.Outcome == Returned
@@ -900,8 +899,8 @@
 }
 
 // coldBudget brings the budget of a cold worker up to date and returns its most.
-// It refills at half the allowed rate up to half of what a window allows, so no
-// window can see more than is allowed. A job that is larger than the whole may
+// What flows in within a window and what may be saved up for it (see coldRate) are
+// together less than it allows. A job that is larger than the whole may
 // leave when it is full, and is paid for before the next. After a start of our
 // own it begins empty: what we sent before is unknown.
 func (d *Dispatcher) coldBudget(w *worker) float64 {
@@ -909,13 +908,12 @@
 	rate := d.coldRate(w) * warmth
 	if w.lost {
 		rate /= 2 * float64(d.set.Balancers) // anyone may find out whether it is back
-	}
-	if !w.lost {
+	} else {
 		rate /= d.owners(w)
 	}
 	most := rate * float64(d.set.Fall)
 	if d.blind() {
-		most /= 2 // the refill of a window and this are within the budget, as is a job too many from some
+		most /= 2 // leaves room for a job too many from some
 	}
 	if w.budgetAt == 0 && d.now-d.born >= d.set.Fall {
 		w.budget += most // less what was under way there when its start was told
@@ -1220,6 +1218,7 @@
 	w.sign, w.suspect = now, false
 }
 
+// sameGroup tells whether two workers drop each other's repeats.
 func sameGroup(g Group, a, b *WorkerEntry) bool {
 	switch g {
 	case GroupAll:
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -26,7 +26,7 @@
 
 // bench drives one dispatcher and keeps what it did.
 type bench struct {
-	t   *testing.T
+	t   testing.TB
 	d   *Dispatcher
 	now Micros
 	out []Action
--- a/estimates.go
+++ b/estimates.go
@@ -324,8 +324,8 @@
 
 // risky tells whether a job should not meet a worker that fails some: its class
 // allows no second attempt after an error. What may be repeated still goes there, uses
-// the slots and finds out whether the errors last. When most workers err, there is
-// nothing better to wait for.
+// the slots and finds out whether the errors last, but not where many blind ones would
+// each find out. When most workers err, there is nothing better to wait for.
 func (d *Dispatcher) risky(j *job, w *worker) bool {
 	if d.set.Classes[j.class].Effect != Unsafe && !d.blind() || !d.errs(w) {
 		return false
@@ -339,10 +339,19 @@
 	return err <= halfFleet*float64(len(d.part))
 }
 
+// unhinted is the work that a job without a hint is reckoned with. Where many are blind that
+// is less than the mean: most jobs are shorter, and lost sooner.
+func (d *Dispatcher) unhinted(s *classState, prior float64) float64 {
+	if d.blind() {
+		return doubtful * s.mean(prior)
+	}
+	return s.weighted(prior)
+}
+
 // turn is a wait by chance before the list is asked for, so long that all may do so with the
 // list's service keeping up: calls that wait too long there fail, and cost it as much.
 func (d *Dispatcher) turn(longer float64) Micros {
-	if d.set.Balancers <= few {
+	if !d.set.LargeFleet() {
 		return 0
 	}
 	return Micros(d.random.chance() * longer * callTime * float64(d.set.Balancers))
@@ -370,7 +379,7 @@
 
 // blind tells whether there are many dispatchers and none tells another anything: what
 // they do together shows only in how long jobs wait.
-func (d *Dispatcher) blind() bool { return !d.set.MayTellPeers && d.set.Balancers > few }
+func (d *Dispatcher) blind() bool { return !d.set.MayTellPeers && d.set.LargeFleet() }
 
 // sharing is how many dispatchers share a worker.
 func (d *Dispatcher) sharing() float64 { return d.reach * float64(d.set.Balancers) }
@@ -382,10 +391,11 @@
 
 // gap is how far on the circle a worker comes behind a place.
 func (d *Dispatcher) gap(place float64, w *worker) float64 {
-	if gap := w.place - place; gap >= 0 {
-		return gap
+	gap := w.place - place
+	if gap < 0 {
+		gap++
 	}
-	return w.place - place + 1
+	return gap
 }
 
 // MostSlots is the most that a job can say it takes: far beyond any machine, and within
@@ -401,8 +411,8 @@
 	return min(said, MostSlots)
 }
 
-// waits is the mean of how long jobs waited at regions before they began. What was seen
-// wears off in the time that a job takes: by then others run there.
+// waits is the mean of how long jobs waited at workers before they began. What was seen
+// wears off, as others run there by and by.
 type waits struct {
 	sum, n float64
 	at     Micros
@@ -438,8 +448,11 @@
 	return w.crowd
 }
 
-// waited records how long a job waited at a worker.
+// waited records how long a job waited at a worker. Only a blind one needs to know.
 func (d *Dispatcher) waited(w *worker, wait float64) {
+	if !d.blind() {
+		return
+	}
 	w.wait.add(d.now, ownMemory*d.memory(), wait)
 	d.crowd(w).add(d.now, crowdMemory*d.memory(), wait)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -99,7 +99,7 @@
 	n := &Node{cfg: cfg, log: log, listener: listener, inbox: make(chan any, inboxSize), start: time.Now(),
 		sched: sched, clients: map[*client]bool{}, callers: map[scheduler.Caller]*client{},
 		links: map[string][]*regionConn{}, tasks: map[scheduler.Task]*regionConn{}, mostOpen: usable / regionPart}
-	if n.keptFor = keptFor; cfg.Settings.Module.Balancers > fleet {
+	if n.keptFor = keptFor; cfg.Settings.Module.LargeFleet() {
 		n.keptFor = keptInFleet
 	}
 	n.epoch = scheduler.Micros(n.start.UnixMicro())
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -59,12 +59,18 @@
 	conn net.Conn
 }
 
-func newWorld(t *testing.T, sockets int, regions ...string) *world {
+func parsed(t testing.TB) settings.Settings {
 	t.Helper()
 	set, err := settings.Parse([]byte(testSettings))
 	if err != nil {
 		t.Fatal(err)
 	}
+	return set
+}
+
+func newWorld(t *testing.T, sockets int, regions ...string) *world {
+	t.Helper()
+	set := parsed(t)
 	w := &world{done: make(chan error, 1), parties: map[string]*party{}}
 	var lines []string
 	for _, name := range regions {
@@ -183,7 +189,7 @@
 }
 func (s stopper) Close(string) error { return errors.New("the node ends when it has stopped") }
 
-// Wait knows one thing to wait for: the end of the node.
+// Wait knows two things to wait for: the end of the node, and a number of open jobs.
 func (w *world) Wait(text string) error {
 	if text, is := strings.CutPrefix(text, "open "); is {
 		return w.waitOpen(text)
@@ -240,10 +246,9 @@
 	}
 	if strings.HasPrefix(p.name, "discovery") {
 		if text == "head" {
-			text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+			text = watchHead
 		} else {
-			text = strings.ReplaceAll(text, "/n", "\n")
-			text = fmt.Sprintf("%x\r\n%s\r\n", len(text), text)
+			text = chunk(strings.ReplaceAll(text, "/n", "\n"))
 		}
 		_, err := io.WriteString(p.conn, text)
 		return err
@@ -735,16 +740,12 @@
 	}
 }
 
-// A connection that has idled is let go, long before the region's limit: it may have
-// been closed without a word, and a job written to it would be lost. In a large fleet it
-// is kept until the scheduler is likely back at the region, or each job would open one.
+// In a large fleet a connection is kept until the scheduler is likely back at its region, or
+// each job would open one.
 func TestIdleConnectionsAreKeptByTheFleet(t *testing.T) {
 	for balancers, want := range map[int]int{3: 0, 80: 1} {
-		set, err := settings.Parse([]byte(strings.Replace(testSettings, `"balancers":1`,
-			fmt.Sprintf(`"balancers":%d`, balancers), 1)))
-		if err != nil {
-			t.Fatal(err)
-		}
+		set := parsed(t)
+		set.Module.Balancers = balancers
 		n, err := Listen(Config{Listen: "127.0.0.1:0", Settings: set}, slog.New(slog.DiscardHandler))
 		if err != nil {
 			t.Fatal(err)
@@ -761,6 +762,8 @@
 	}
 }
 
+// A connection that has idled is let go, long before the region's limit: it may have
+// been closed without a word, and a job written to it would be lost.
 func TestIdleConnectionsAreRetired(t *testing.T) {
 	n := &Node{start: time.Now().Add(-time.Minute), links: map[string][]*regionConn{}, keptFor: keptFor}
 	for _, since := range []scheduler.Micros{0, 59 * second, 600 * second} {
--- a/internal/node/region.go
+++ b/internal/node/region.go
@@ -40,7 +40,6 @@
 const (
 	keptFor     = 50 * millisecond
 	keptInFleet = 2000 * millisecond
-	fleet       = 8 // schedulers; more are a large fleet
 )
 
 const millisecond scheduler.Micros = 1000
--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"log/slog"
 	"net"
 	"strings"
@@ -10,7 +11,6 @@
 	"time"
 
 	"dahliaford/internal/scheduler"
-	"dahliaford/internal/settings"
 )
 
 // lines is a log that tests read.
@@ -39,20 +39,12 @@
 	var b strings.Builder
 	for len(text) > 0 { // in parts, as a network would
 		n := min(len(text), 1<<16)
-		b.WriteString(strings.ToLower(hex(n)) + "\r\n" + text[:n] + "\r\n")
+		fmt.Fprintf(&b, "%x\r\n%s\r\n", n, text[:n])
 		text = text[n:]
 	}
 	return b.String()
 }
 
-func hex(n int) string {
-	const digits = "0123456789abcdef"
-	if n < 16 {
-		return digits[n : n+1]
-	}
-	return hex(n/16) + digits[n%16:n%16+1]
-}
-
 // Whatever discovery does wrong, the last good table holds, the log has one line for it,
 // and discovery is asked again.
 func TestDiscoveryGoesWrong(t *testing.T) {
@@ -100,10 +92,7 @@
 					}()
 				}
 			}()
-			set, err := settings.Parse([]byte(testSettings))
-			if err != nil {
-				t.Fatal(err)
-			}
+			set := parsed(t)
 			line := regionLine("s-1", "127.0.0.1:1")
 			known, err := DecodeTable([]byte(`{"rev":4,"all":true,"targets":[` + line + `]}`))
 			if err != nil {
@@ -142,7 +131,7 @@
 func TestHugeTable(t *testing.T) {
 	var all []string
 	for len(all) < 20_000 {
-		all = append(all, regionLine("s-"+hex(len(all)), "127.0.0.1:1"))
+		all = append(all, regionLine(fmt.Sprint("s-", len(all)), "127.0.0.1:1"))
 	}
 	line := `{"rev":5,"all":true,"targets":[` + strings.Join(all, ",") + `]}`
 	if len(line) > longestLine {
@@ -152,10 +141,7 @@
 	if err != nil || len(table.Regions) != 20_000 {
 		t.Fatalf("%d regions, %v", len(table.Regions), err)
 	}
-	set, err := settings.Parse([]byte(testSettings))
-	if err != nil {
-		t.Fatal(err)
-	}
+	set := parsed(t)
 	s, err := scheduler.New(set, 1)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/scheduler/copy.go
+++ b/internal/scheduler/copy.go
@@ -111,8 +111,7 @@
 		f.Text(r.Addr)
 		f.Text(r.Zone)
 		f.Text(r.Kind)
-		f.Flag(r.retired)
-		f.Num(int64(r.gone))
+		f.Num(int64(r.retired))
 	}
 	dues := slices.Clone(s.due)
 	slices.SortFunc(dues, func(a, b due) int {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -26,9 +26,6 @@
 	// recallFor is how long it is tried at all. Then the region has what it was told when
 	// it got the task: how long anybody would wait.
 	recallFor = 15 * second
-	// goneFor is how long a region that is gone stays in the books: by then no class waits for
-	// it any more, and a fleet that is replaced for years must not fill them.
-	goneFor = 600 * second
 	// recallOn is how long a stopping scheduler that owes no answer goes on for that.
 	recallOn = 2 * second
 )
@@ -138,8 +135,7 @@
 type region struct {
 	Region
 	number  dahliaford.WorkerID
-	retired bool   // gone, and said so
-	gone    Micros // since when; 0: it is not
+	retired Micros // since when it is gone, and said so; 0: it is not
 }
 
 // numbering gives names their place in a list; unheard-of ones get places behind.
@@ -571,15 +567,15 @@
 		e.Workers = append(e.Workers, dahliaford.WorkerEntry{Worker: r.number, Zone: s.zones.of(line.Zone),
 			Cell: line.Cell, Kind: s.kinds.of(line.Kind), Status: line.Status, Started: line.Started})
 	}
+	long := s.set.Module.GoneFor()
 	for _, r := range sorted(s.regions) {
-		if gone := r.Status == dahliaford.Gone; gone != r.retired {
-			if r.retired, r.gone = gone, 0; gone {
-				r.gone = s.now
-				s.emit(Retire{Addr: r.Addr})
-			}
-		}
-		// A task or a withdrawal that is out still names its region, by pointer and address.
-		if r.retired && s.now-r.gone >= max(goneFor, 2*s.longest) {
+		switch {
+		case r.Status != dahliaford.Gone:
+			r.retired = 0
+		case r.retired == 0:
+			r.retired = max(s.now, 1)
+			s.emit(Retire{Addr: r.Addr})
+		case s.now-r.retired >= long:
 			delete(s.regions, r.UID)
 			delete(s.byNumber, r.number)
 		}
--- a/internal/scheduler/size_test.go
+++ b/internal/scheduler/size_test.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 	"testing"
 	"time"
 
@@ -14,11 +13,11 @@
 // fleetOf starts a scheduler of a fleet.
 func fleetOf(t testing.TB, schedulers, regions int) *Scheduler {
 	t.Helper()
-	set, err := settings.Parse([]byte(strings.Replace(testSettings, `"balancers":1`,
-		fmt.Sprintf(`"balancers":%d`, schedulers), 1)))
+	set, err := settings.Parse([]byte(testSettings))
 	if err != nil {
 		t.Fatal(err)
 	}
+	set.Module.Balancers = schedulers
 	s, err := New(set, 1)
 	if err != nil {
 		t.Fatal(err)
@@ -33,7 +32,7 @@
 	return s
 }
 
-// jobs passes so many jobs through, each with all its events. Some are always out.
+// jobs passes so many jobs through, each with all its events.
 func jobs(t testing.TB, s *Scheduler, n int) {
 	now, out := s.now, []Effect(nil)
 	for range n {
@@ -85,13 +84,10 @@
 // ago are forgotten, and one that comes back is as new.
 func TestRegionsThatWentAreForgotten(t *testing.T) {
 	s := fleetOf(t, 80, 10)
-	replace := func(i int) {
+	for i := range 200 { // one is replaced a minute
 		old, next := line(fmt.Sprintf("r%d", i), dahliaford.Gone), line(fmt.Sprintf("r%d", i+10), dahliaford.Ready)
 		s.Step(s.now+60*second, TableRead{Table: Table{Rev: int64(i + 2), Regions: []Region{old, next}}}, nil)
 	}
-	for i := range 200 { // one a minute
-		replace(i)
-	}
 	if n := len(s.regions); n > 25 || n < 10 || len(s.byNumber) != n {
 		t.Errorf("%d regions and %d numbers in the books, 10 in the table", n, len(s.byNumber))
 	}
--- a/settings.go
+++ b/settings.go
@@ -48,3 +48,17 @@
 	}
 	return nil
 }
+
+// LargeFleet tells whether there are so many dispatchers that each meets a worker seldom.
+func (s *Settings) LargeFleet() bool { return s.Balancers > few }
+
+// GoneFor is how long a worker that is gone stays in the books: it may come back, and what was
+// learned of it holds. No open job has an attempt there by then. A fleet that is replaced for
+// years must not fill them.
+func (s *Settings) GoneFor() Micros {
+	long := Micros(600 * second)
+	for i := range s.Classes {
+		long = max(long, 2*s.Classes[i].Deadline)
+	}
+	return long
+}
--- a/size_test.go
+++ b/size_test.go
@@ -42,7 +42,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b := &bench{d: d, now: 100 * second}
+	b := &bench{t: t, d: d, now: 100 * second}
 	b.do(Event{Kind: Began})
 	b.do(Event{Kind: ListChanged, Scope: ListCached, Workers: list})
 	return b
@@ -125,7 +125,6 @@
 	sends := map[WorkerID][]booking{}
 	for i, b := range all {
 		b.do(Event{Kind: ListChanged, Workers: list})
-		b.t = t
 		for step := range 60 {
 			id := JobID(i*1000 + step)
 			if i%50 == 7 && step == 20 { // restarted: it has the cached list and no books
--- a/state.go
+++ b/state.go
@@ -210,16 +210,9 @@
 	j.held = false
 }
 
-// goneFor is how long a worker that is gone stays in the books: it may come back, and what
-// was learned of it holds. A fleet that is replaced for years must not fill them.
-const goneFor = 600 * second
-
 // forget drops workers that have been gone for long.
 func (d *Dispatcher) forget() {
-	long := Micros(goneFor) // and no open job has an attempt there
-	for i := range d.set.Classes {
-		long = max(long, 2*d.set.Classes[i].Deadline)
-	}
+	long := d.set.GoneFor()
 	d.order = slices.DeleteFunc(d.order, func(w *worker) bool {
 		switch {
 		case w.entry.Status != Gone:
