Choose a scheduler when a try begins, and wait for one to be back, in the client library

Need: a try was bound to a scheduler when it was planned. With half of the schedulers gone the floor of ejection kept dead ones in the draw, a scheduler that refuses all at once looked idle and drew every job, and lack of a connection in the desk counted against schedulers.

Change: what is planned is a time; the scheduler is picked when the try begins, and a retry goes elsewhere if it can. Nobody listening is told apart: one such failure sets a scheduler aside, and all may be; jobs then wait for a trial to succeed, or are refused at once if that is too late for them. The desk's own bounds prove nothing about a scheduler. Refusals make a scheduler look busier. Connections that replace lost ones are spread over 200 ms, and each has a second to come up.

Measured in the plan's tests: of 1,000 jobs under 200 go to one of three that refuses all; a scheduler nobody listens at gets 1 try before it is set aside, a silent one 3, as before.

--- a/cmd/dahliaford/send_test.go
+++ b/cmd/dahliaford/send_test.go
@@ -87,13 +87,15 @@
 		{name: "both", args: []string{at, "--class=a", "--jobs=x"}, status: misused, errs: "do not go with it"},
 		{name: "no such file", args: []string{at, "--class=a", "--data=@/nowhere/x"}, status: misused,
 			errs: "--data: open /nowhere/x"},
-		{name: "no such desk", args: []string{"--desk=/nowhere/x", "--class=a"}, status: misused, errs: "--desk: open"},
+		{name: "no such desk", args: []string{"--desk=/nowhere/x", "--class=a"}, status: misused,
+			errs: "--desk: open"},
 		{name: "a wrong desk", args: []string{"--desk=" + file(t, "{}"), "--class=a"}, status: misused,
 			errs: "classes is required"},
 		{name: "too long", args: []string{at, "--class=a", "--data=-"}, in: strings.Repeat("x", 65<<10),
 			status: misused, errs: "over 65536 bytes"},
 		{name: "a wrong span", args: []string{at, "--class=a", "--within=5"}, status: misused, errs: "--within"},
-		{name: "a negative span", args: []string{at, "--class=a", "--within=-5s"}, status: misused, errs: "--within"},
+		{name: "a negative span", args: []string{at, "--class=a", "--within=-5s"}, status: misused,
+			errs: "--within"},
 		{name: "an unknown flag", args: []string{at, "--color=a"}, status: misused, errs: "--color"},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/desk/conn.go
+++ b/desk/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math"
+	"math/rand/v2"
 	"net"
 	"net/url"
 	"strconv"
@@ -35,14 +36,33 @@
 	room  []chan struct{} // one taken for each connection of a scheduler that is in use
 	pace  *rate.Limiter
 
+	opened func(i int, err error) // is told of each new connection
+
 	mu     sync.Mutex
 	idle   [][]*conn
+	lost   []time.Time // when one last broke, or did not come up
 	closed bool
 }
 
-func newPool(addrs []string, most int, perSecond float64) *pool {
-	p := &pool{addrs: addrs, idle: make([][]*conn, len(addrs)),
-		pace: rate.NewLimiter(rate.Limit(perSecond), max(1, int(math.Ceil(perSecond))))}
+const (
+	// connectWithin is the longest that a new connection may take: a scheduler that is cut
+	// off must leave time for another one.
+	connectWithin = time.Second
+	// reconnectSpread is how far connections that replace lost ones are spread: all desks
+	// lose theirs at the same moment.
+	reconnectSpread = 200 * time.Millisecond
+	// lossMatters is how long after a loss new connections are spread.
+	lossMatters = 2 * time.Second
+)
+
+// errNoRoom marks what a desk's own bounds did not let come about in time.
+type errNoRoom struct{ error }
+
+func (e errNoRoom) Unwrap() error { return e.error }
+
+func newPool(addrs []string, most int, perSecond float64, opened func(int, error)) *pool {
+	p := &pool{addrs: addrs, idle: make([][]*conn, len(addrs)), lost: make([]time.Time, len(addrs)),
+		opened: opened, pace: rate.NewLimiter(rate.Limit(perSecond), max(1, int(math.Ceil(perSecond/5))))}
 	for range addrs {
 		p.room = append(p.room, make(chan struct{}, most))
 	}
@@ -54,17 +74,12 @@
 	select {
 	case p.room[i] <- struct{}{}:
 	case <-ctx.Done():
-		return nil, ctx.Err()
+		return nil, errNoRoom{ctx.Err()}
 	}
 	if c := p.kept(i); c != nil {
 		return c, nil
 	}
-	if err := p.pace.Wait(ctx); err != nil {
-		<-p.room[i]
-		return nil, err
-	}
-	var dialer net.Dialer
-	inner, err := dialer.DialContext(ctx, "tcp", p.addrs[i])
+	inner, err := p.open(ctx, i)
 	if err != nil {
 		<-p.room[i]
 		return nil, err
@@ -72,6 +87,35 @@
 	return &conn{Conn: inner, read: http1.NewReader(inner)}, nil
 }
 
+// open opens a connection when the pace allows.
+func (p *pool) open(ctx context.Context, i int) (net.Conn, error) {
+	if err := p.pace.Wait(ctx); err != nil {
+		return nil, errNoRoom{err}
+	}
+	p.mu.Lock()
+	loss := p.lost[i]
+	p.mu.Unlock()
+	if time.Since(loss) < lossMatters {
+		if err := rest(ctx, time.Now().Add(rand.N(reconnectSpread)), nil); err != nil {
+			return nil, errNoRoom{err}
+		}
+	}
+	dialer := net.Dialer{Deadline: time.Now().Add(connectWithin)}
+	c, err := dialer.DialContext(ctx, "tcp", p.addrs[i])
+	p.opened(i, err)
+	if err != nil {
+		p.lose(i)
+	}
+	return c, err
+}
+
+// lose notes that a connection was lost, or did not come up.
+func (p *pool) lose(i int) {
+	p.mu.Lock()
+	p.lost[i] = time.Now()
+	p.mu.Unlock()
+}
+
 // kept takes the connection that has idled the shortest; older ones are closed.
 func (p *pool) kept(i int) *conn {
 	p.mu.Lock()
@@ -138,8 +182,12 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	link, err := c.pool.get(ctx, step.Scheduler)
-	if err != nil {
-		return outcome{proof: plan.NotSent, err: err}
+	var room errNoRoom
+	switch {
+	case errors.As(err, &room):
+		return outcome{proof: plan.NoRoom, err: err}
+	case err != nil:
+		return outcome{proof: plan.Unreached, err: err}
 	}
 	again := false
 	defer func() { c.pool.put(step.Scheduler, link, again) }()
@@ -148,12 +196,16 @@
 	link.SetDeadline(deadline)
 	left := time.Until(deadline).Milliseconds()
 	if left <= 0 {
-		return outcome{proof: plan.NotSent, err: context.DeadlineExceeded}
+		return outcome{proof: plan.NoRoom, err: context.DeadlineExceeded}
 	}
 	if _, err := link.Write(c.request(job, step, left)); err != nil { // it is out whole, or not
+		c.pool.lose(step.Scheduler)
 		return outcome{proof: plan.NotSent, err: err}
 	}
 	o := link.answer()
+	if o.proof != plan.Answered {
+		c.pool.lose(step.Scheduler)
+	}
 	again = o.proof == plan.Answered && !link.last
 	return o
 }
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -57,9 +57,10 @@
 	// Connections is how many a scheduler may have from this desk; 0: 64.
 	Connections int
 	// Reconnects is how many new connections a second the desk opens, all schedulers
-	// together, beyond a first burst of as many; 0: 50.
+	// together, beyond a first burst of a fifth of that; 0: 50.
 	Reconnects float64
 	Log        *slog.Logger // nil: none
+	Observer   Observer     // is told what happens, for metrics; nil: nobody is
 	Seed       uint64       // of all that is left to chance; 0: a new one
 }
 
@@ -136,8 +137,9 @@
 	log     *slog.Logger
 	pool    *pool
 
-	mu   sync.Mutex // guards plan
+	mu   sync.Mutex // guards what follows
 	plan *plan.Plan
+	back chan struct{} // closed when a scheduler can be reached again, and then replaced
 }
 
 // The figures that a desk does not choose.
@@ -176,7 +178,10 @@
 	if cfg.Connections < 0 || cfg.Reconnects < 0 {
 		return nil, errors.New("desk: connections and reconnects must not be negative")
 	}
-	c := &Client{cfg: cfg, classes: map[string]int{}, log: cfg.Log}
+	if cfg.Observer == nil {
+		cfg.Observer = nobody{}
+	}
+	c := &Client{cfg: cfg, classes: map[string]int{}, log: cfg.Log, back: make(chan struct{})}
 	p := plan.Config{Schedulers: len(cfg.Schedulers), Budget: cfg.Budget, Spare: spare,
 		Backoff: 50 * time.Millisecond, Longest: time.Second, EjectAfter: 3, Eject: time.Second,
 		EjectMost: 30 * time.Second}
@@ -202,7 +207,8 @@
 	if c.plan, err = plan.New(p, cfg.Seed); err != nil {
 		return nil, fmt.Errorf("desk: %w", err)
 	}
-	c.pool = newPool(cfg.Schedulers, cfg.Connections, cfg.Reconnects)
+	c.pool = newPool(cfg.Schedulers, cfg.Connections, cfg.Reconnects,
+		func(i int, err error) { cfg.Observer.Connected(cfg.Schedulers[i], err) })
 	return c, nil
 }
 
@@ -227,29 +233,50 @@
 	if at, set := ctx.Deadline(); set && at.Before(deadline) {
 		deadline = at
 	}
+	began := time.Now()
+	result, err := c.carry(ctx, &job, class, deadline)
+	tries := 0
+	if result != nil {
+		tries = result.Tries
+	}
+	c.cfg.Observer.Ended(job.Class, Verdict(err), tries, time.Since(began))
+	return result, err
+}
+
+// carry takes a job through its tries to its end.
+func (c *Client) carry(ctx context.Context, job *Job, class int, deadline time.Time) (*Result, error) {
 	c.mu.Lock()
 	planned, step := c.plan.Begin(time.Now(), class, deadline)
+	back := c.back
 	c.mu.Unlock()
 	ran, tries := false, 0
 	var last outcome
 	for step.Verdict == plan.Pending {
-		if err := rest(ctx, step.At); err != nil {
-			return nil, c.leave(planned, ran, err)
+		if !step.Go {
+			if !step.Away {
+				back = nil // this wait is for its own sake
+			}
+			if err := rest(ctx, step.At, back); err != nil {
+				return nil, c.leave(planned, ran, err)
+			}
+			c.mu.Lock()
+			step, back = c.plan.Start(time.Now(), planned), c.back
+			c.mu.Unlock()
+			continue
 		}
 		began := time.Now()
 		tries++
-		last = c.try(ctx, &job, step, deadline)
-		ran = ran || last.proof != plan.NotSent
+		last = c.try(ctx, job, step, deadline)
+		ran = ran || last.proof != plan.Unreached && last.proof != plan.NotSent && last.proof != plan.NoRoom
 		if err := ctx.Err(); err != nil && last.proof != plan.Answered && time.Now().Before(deadline) {
 			return nil, c.leave(planned, ran, err)
 		}
+		scheduler := c.cfg.Schedulers[step.Scheduler]
 		if last.err != nil {
-			c.log.Info("a try failed", "scheduler", c.cfg.Schedulers[step.Scheduler], "class", job.Class, "error",
-				last.err)
+			c.log.Info("a try failed", "scheduler", scheduler, "class", job.Class, "error", last.err)
 		}
-		c.mu.Lock()
-		step = c.plan.Ended(time.Now(), began, planned, last.result())
-		c.mu.Unlock()
+		c.cfg.Observer.Tried(scheduler, job.Class, last.word(), time.Since(began))
+		step, back = c.ended(began, planned, last)
 	}
 	switch step.Verdict {
 	case plan.Served:
@@ -266,6 +293,22 @@
 	return nil, &Unknown{Cause: last.err}
 }
 
+// ended tells the plan of a try's end, and wakes those who wait if a scheduler is back.
+func (c *Client) ended(began time.Time, j *plan.Job, o outcome) (plan.Step, chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	well, throttled := c.plan.Well(), c.plan.Throttled()
+	step := c.plan.Ended(time.Now(), began, j, o.result())
+	if well == 0 && c.plan.Well() > 0 {
+		close(c.back)
+		c.back = make(chan struct{})
+	}
+	if c.plan.Throttled() > throttled {
+		c.cfg.Observer.Throttled()
+	}
+	return step, c.back
+}
+
 // leave ends a job whose caller has gone.
 func (c *Client) leave(j *plan.Job, ran bool, cause error) error {
 	c.mu.Lock()
@@ -277,8 +320,8 @@
 	return &Refused{After: time.Now(), Cause: cause}
 }
 
-// rest waits until a time, or for the context's end.
-func rest(ctx context.Context, until time.Time) error {
+// rest waits until a time or a word, or for the context's end, which is the error.
+func rest(ctx context.Context, until time.Time, word <-chan struct{}) error {
 	wait := time.Until(until)
 	if wait <= 0 {
 		return ctx.Err()
@@ -288,6 +331,8 @@
 	select {
 	case <-timer.C:
 		return nil
+	case <-word:
+		return ctx.Err()
 	case <-ctx.Done():
 		return ctx.Err()
 	}
--- a/desk/internal/plan/plan.go
+++ b/desk/internal/plan/plan.go
@@ -39,8 +39,9 @@
 	Spare  float64
 	// Backoff is the first wait after a refusal that names none, doubling up to Longest.
 	Backoff, Longest time.Duration
-	// EjectAfter failures in a row set a scheduler aside, for Eject, doubling up to
-	// EjectMost. Never more than half of them are.
+	// EjectAfter failures in a row set a scheduler aside, for about Eject, doubling up to
+	// EjectMost. Never more than half of them are, but for those that nobody listens at:
+	// one failure tells these, and all of them may be.
 	EjectAfter       int
 	Eject, EjectMost time.Duration
 }
@@ -55,9 +56,14 @@
 // The proofs.
 const (
 	Answered Proof = iota // there is a whole answer: see Status
-	// NotSent: the connection was refused, never came up, or broke before the last byte of
-	// the request was out. Nobody has taken the job.
+	// Unreached: the connection was refused, or never came up. Nobody has taken the job.
+	Unreached
+	// NotSent: the connection broke before the last byte of the request was out. Nobody can
+	// have read the job whole.
 	NotSent
+	// NoRoom: the desk had no connection for it in time, by its own bounds. That tells
+	// nothing of the scheduler.
+	NoRoom
 	// Crossed: a kept connection ended with no byte of an answer. The scheduler may have
 	// closed it between requests, before it read this one; or it took the job and died. The
 	// two cannot be told apart, so for what must never run twice this is as Lost.
@@ -89,12 +95,15 @@
 	Expired // no time is left for a try, and none may have run
 )
 
-// Step is what to do next. With Pending: start a try at the scheduler, at that time.
+// Step is what to do next. With Pending and Go: make a try at the scheduler, now. With
+// Pending alone: call Start at that time, or with Away as soon as Well is no longer zero.
 type Step struct {
 	Verdict   Verdict
+	Go        bool
 	Scheduler int
-	At        time.Time
 	Resent    bool
+	At        time.Time
+	Away      bool // no scheduler can be reached
 }
 
 // Job is one job from its arrival to its verdict. It belongs to whoever began it.
@@ -103,7 +112,9 @@
 	deadline time.Time
 	tries    int
 	first    time.Time // when the first try started that may have run; zero: none may have
-	at       int       // the scheduler of the present try
+	at       int       // the scheduler of the present or last try; -1: none yet
+	running  bool      // a try is under way
+	end      Verdict   // its verdict if no further try begins
 	over     bool
 }
 
@@ -114,11 +125,14 @@
 	random *rand.Rand
 	tokens float64
 	scheds []sched
+
+	throttled int
 }
 
 type sched struct {
-	open    int // tries under way
-	fails   int // in a row
+	open    int     // tries under way
+	fails   int     // in a row
+	refuses float64 // the share of refusals among its last answers, roughly
 	ejected time.Duration
 	until   time.Time // set aside until then; zero: it is well
 	trial   bool      // it was set aside, and one try finds out whether it is back
@@ -157,20 +171,30 @@
 // Begin takes a new job. Its deadline is set here once and for all.
 func (p *Plan) Begin(now time.Time, class int, deadline time.Time) (*Job, Step) {
 	p.tokens = min(p.tokens+p.cfg.Budget, p.cfg.Spare)
-	j := &Job{class: &p.cfg.Classes[class], deadline: deadline}
-	if !now.Before(deadline) {
-		return j, p.finish(j, Step{Verdict: Expired})
-	}
-	return j, p.start(j, now)
+	j := &Job{class: &p.cfg.Classes[class], deadline: deadline, at: -1, end: Expired}
+	return j, p.Start(now, j)
 }
 
-// start picks a scheduler for a try that begins at a time. The owner begins it then, or
-// calls Leave.
-func (p *Plan) start(j *Job, at time.Time) Step {
-	j.at = p.pick(at)
+// Start begins the next try of a job, if there is a scheduler for it. The choice is made
+// now, by what is known now, and not when the try was planned.
+func (p *Plan) Start(now time.Time, j *Job) Step {
+	if j.over || j.running || !now.Before(j.deadline) || !mayRepeat(j, now) {
+		return p.finish(j, Step{Verdict: j.end, At: now})
+	}
+	i, back := p.pick(now, j.at)
+	if i < 0 && back.Before(j.deadline) {
+		return Step{At: back, Away: true}
+	}
+	if i < 0 {
+		if j.end == Expired {
+			j.end = Refused // it did not run, and no scheduler can be reached in time
+		}
+		return p.finish(j, Step{Verdict: j.end, At: back})
+	}
+	j.at, j.running = i, true
 	j.tries++
-	p.scheds[j.at].open++
-	return Step{Scheduler: j.at, At: at, Resent: j.tries > 1}
+	p.scheds[i].open++
+	return Step{Go: true, Scheduler: i, At: now, Resent: j.tries > 1}
 }
 
 func (p *Plan) finish(j *Job, s Step) Step {
@@ -180,24 +204,25 @@
 
 // Leave ends a job whose caller has gone, with a try under way or waiting to begin.
 func (p *Plan) Leave(j *Job) {
-	if !j.over {
-		j.over = true
-		p.release(j.at)
-	}
+	j.over = true
+	p.release(j)
 }
 
-func (p *Plan) release(i int) {
-	p.scheds[i].open--
-	p.scheds[i].trial = false
+func (p *Plan) release(j *Job) {
+	if j.running {
+		j.running = false
+		p.scheds[j.at].open--
+		p.scheds[j.at].trial = false
+	}
 }
 
 // Ended takes the end of a try that began at a time, and says what is next.
 func (p *Plan) Ended(now, began time.Time, j *Job, r Result) Step {
-	if j.over {
+	if j.over || !j.running {
 		return Step{Verdict: Unknown}
 	}
 	p.judge(now, j.at, r)
-	p.release(j.at)
+	p.release(j)
 	if mayHaveRun(r) && j.first.IsZero() {
 		j.first = began
 	}
@@ -207,27 +232,25 @@
 	case r.Proof == Answered && r.Status >= 400 && r.Status < 500 && r.Status != 429:
 		return p.finish(j, Step{Verdict: Invalid})
 	}
-	end := verdict(r)
-	if !j.first.IsZero() && end == Refused {
-		end = Unknown // this try did not run; an earlier one may have
+	j.end = verdict(r)
+	if !j.first.IsZero() && j.end == Refused {
+		j.end = Unknown // this try did not run; an earlier one may have
 	}
 	back := p.comeBack(now, j, r)
-	if s, again := p.again(j, back); again {
-		return s
-	}
-	return p.finish(j, Step{Verdict: end, At: back})
-}
-
-// again tells whether a job gets another try, and plans it.
-func (p *Plan) again(j *Job, at time.Time) (Step, bool) {
 	switch {
-	case j.tries >= j.class.Tries, !at.Before(j.deadline), p.tokens < 1, !mayRepeat(j, at):
-		return Step{}, false
+	case j.tries >= j.class.Tries, !back.Before(j.deadline), !mayRepeat(j, back):
+		return p.finish(j, Step{Verdict: j.end, At: back})
+	case p.tokens < 1:
+		p.throttled++
+		return p.finish(j, Step{Verdict: j.end, At: back})
 	}
 	p.tokens--
-	return p.start(j, at), true
+	return Step{At: back}
 }
 
+// Throttled counts the jobs that got no further try because the budget was used up.
+func (p *Plan) Throttled() int { return p.throttled }
+
 // mayRepeat tells whether what is known of a job allows a try at a time.
 func mayRepeat(j *Job, at time.Time) bool {
 	if j.first.IsZero() {
@@ -245,7 +268,7 @@
 // mayHaveRun tells what the end of a try leaves open.
 func mayHaveRun(r Result) bool {
 	switch r.Proof {
-	case NotSent:
+	case Unreached, NotSent, NoRoom:
 		return false
 	case Answered:
 		return r.Status != 503 && !(r.Status >= 400 && r.Status < 500)
@@ -261,7 +284,7 @@
 			return Refused
 		}
 		return Failed
-	case NotSent:
+	case Unreached, NotSent, NoRoom:
 		return Refused // nobody took it: a repeat is harmless
 	}
 	return Unknown
@@ -284,25 +307,48 @@
 // ---- Schedulers
 
 // judge draws from the end of a try what it tells of its scheduler. A refusal is the word
-// of one that is well.
+// of one that is well, though others may be the better choice.
 func (p *Plan) judge(now time.Time, i int, r Result) {
 	s := &p.scheds[i]
+	if r.Proof == NoRoom {
+		return
+	}
 	if r.Proof == Answered {
 		s.fails, s.ejected, s.until = 0, 0, time.Time{}
+		refused := 0.0
+		if r.Status == 503 || r.Status == 429 {
+			refused = 1
+		}
+		s.refuses += refusalWeight * (refused - s.refuses)
 		return
 	}
 	s.fails++
-	if s.fails < p.cfg.EjectAfter && !s.trial {
-		return
+	if r.Proof != Unreached {
+		if s.fails < p.cfg.EjectAfter && !s.trial {
+			return
+		}
+		if s.until.IsZero() && 2*(p.aside()+1) > len(p.scheds) {
+			return // more than half look ill: the evidence is at fault, or there is nowhere else
+		}
 	}
-	if s.until.IsZero() && 2*(p.aside()+1) > len(p.scheds) {
-		return // more than half look ill: the evidence is at fault, or there is nowhere else
+	if now.Before(s.until) {
+		return // several tries that were under way tell the same
 	}
 	s.ejected = min(max(2*s.ejected, p.cfg.Eject), p.cfg.EjectMost)
-	spread := time.Duration(p.random.Float64() * float64(s.ejected) / 4)
-	s.until = now.Add(s.ejected + spread)
+	// Spread, as all desks lose a scheduler at the same moment.
+	s.until = now.Add(s.ejected/2 + time.Duration(p.random.Float64()*float64(s.ejected)))
 }
 
+const (
+	refusalWeight = 0.1 // of the last answer in the share of refusals
+	// refusalCost is how much busier one counts that refuses all: it would look idle, as it
+	// is done at once, and draw everything. Where all refuse alike it changes nothing.
+	refusalCost = 4
+)
+
+// Well counts the schedulers that are not set aside.
+func (p *Plan) Well() int { return len(p.scheds) - p.aside() }
+
 // aside counts the schedulers that are set aside.
 func (p *Plan) aside() int {
 	n := 0
@@ -314,33 +360,48 @@
 	return n
 }
 
-// pick takes the less busy of two that are drawn from those that are well. One whose time
-// aside is over gets a single try first.
-func (p *Plan) pick(at time.Time) int {
+// pick takes the less busy of two that are drawn from those that are well, and another one
+// than the last if it can. One whose time aside is over gets a single try first. With none
+// it tells when there may be one.
+func (p *Plan) pick(now time.Time, last int) (int, time.Time) {
 	var well []int
+	var back time.Time
 	for i := range p.scheds {
 		s := &p.scheds[i]
 		switch {
 		case s.until.IsZero():
-			well = append(well, i)
-		case !at.Before(s.until) && !s.trial:
+			if i != last {
+				well = append(well, i)
+			}
+		case !now.Before(s.until) && !s.trial:
 			s.trial = true
-			return i
+			return i, now
+		default:
+			at := s.until
+			if s.trial {
+				at = now.Add(p.cfg.Eject)
+			}
+			if back.IsZero() || at.Before(back) {
+				back = at
+			}
 		}
 	}
+	if len(well) == 0 && last >= 0 && p.scheds[last].until.IsZero() {
+		return last, now
+	}
 	if len(well) == 0 {
-		for i := range p.scheds {
-			well = append(well, i)
-		}
+		return -1, back.Add(time.Duration(p.random.Float64() * float64(p.cfg.Eject) / 4))
 	}
 	a, b := well[p.random.IntN(len(well))], well[p.random.IntN(len(well))]
-	if p.scheds[b].open < p.scheds[a].open {
-		return b
+	if p.scheds[b].load() < p.scheds[a].load() {
+		return b, now
 	}
-	return a
+	return a, now
 }
 
-// Open is the number of tries that are planned or under way.
+func (s *sched) load() float64 { return float64(s.open+1) * (1 + refusalCost*s.refuses) }
+
+// Open is the number of tries that are under way.
 func (p *Plan) Open() int {
 	n := 0
 	for i := range p.scheds {
--- a/desk/internal/plan/plan_test.go
+++ b/desk/internal/plan/plan_test.go
@@ -49,7 +49,9 @@
 		{"an answer that nobody gives", Result{Status: 302}, [4]Verdict{Failed, Failed, Pending, Pending}},
 		{"invalid", Result{Status: 400}, [4]Verdict{Invalid, Invalid, Invalid, Invalid}},
 		{"a conflict", Result{Status: 409}, [4]Verdict{Invalid, Invalid, Invalid, Invalid}},
-		{"nobody listens, or half written", Result{Proof: NotSent}, again},
+		{"nobody listens", Result{Proof: Unreached}, again},
+		{"half written", Result{Proof: NotSent}, again},
+		{"no room", Result{Proof: NoRoom}, again},
 		{"a kept connection ended", Result{Proof: Crossed}, [4]Verdict{Unknown, Unknown, Pending, Pending}},
 		{"the answer is lost", Result{Proof: Lost}, [4]Verdict{Unknown, Unknown, Pending, Pending}},
 		{"the answer is garbage", Result{Proof: Garbled}, [4]Verdict{Unknown, Unknown, Pending, Pending}},
@@ -63,11 +65,13 @@
 			}
 			s = p.Ended(start.Add(time.Millisecond), start, j, c.end)
 			got[class] = s.Verdict
-			if open := p.Open(); (s.Verdict == Pending) != (open == 1) {
+			if open := p.Open(); open != 0 {
 				t.Errorf("%s: %d tries are open after %v", c.name, open, s.Verdict)
 			}
-			if s.Verdict == Pending && !s.Resent {
-				t.Errorf("%s: a retry is not marked", c.name)
+			if s.Verdict == Pending {
+				if s = p.Start(s.At, j); !s.Go || !s.Resent || p.Open() != 1 {
+					t.Errorf("%s: a retry is not marked, or not counted: %+v", c.name, s)
+				}
 			}
 		}
 		if diff := cmp.Diff(c.want, got); diff != "" {
@@ -82,7 +86,8 @@
 	cfg.Classes[keyed].Tries = 2
 	p := newPlan(t, cfg)
 	j, _ := p.Begin(start, keyed, start.Add(5*time.Second))
-	if s := p.Ended(start, start, j, Result{Proof: Lost}); s.Verdict != Pending {
+	s := p.Ended(start, start, j, Result{Proof: Lost})
+	if s = p.Start(s.At, j); !s.Go {
 		t.Fatal(s)
 	}
 	if s := p.Ended(start, start, j, Result{Status: 503}); s.Verdict != Unknown {
@@ -139,6 +144,7 @@
 			s = p.Ended(start, start, j, Result{Status: 503, Advised: true, Advice: time.Second})
 			if s.Verdict == Pending {
 				retries++
+				s = p.Start(s.At, j)
 			} else if s.Verdict != Refused || s.At.Before(start.Add(time.Second)) {
 				t.Fatalf("%+v", s)
 			}
@@ -149,52 +155,113 @@
 	}
 }
 
-// A scheduler that fails is set aside, at most half of them are, and one try finds out
-// whether it is back.
-func TestEjection(t *testing.T) {
-	cfg := config()
-	cfg.Spare = 1000
-	p := newPlan(t, cfg)
-	for p.scheds[0].until.IsZero() {
-		j, s := p.Begin(start, safe, start.Add(time.Hour))
+// ends plays the first tries of n jobs: those at scheduler i end as fail says, others are
+// served. It counts the tries at i.
+func ends(p *Plan, at time.Time, n, i int, fail Result) (tries int) {
+	for range n {
+		j, s := p.Begin(at, safe, at.Add(time.Hour))
 		end := Result{Status: 200}
-		if s.Scheduler == 0 {
-			end = Result{Proof: NotSent}
+		if s.Go && s.Scheduler == i {
+			tries++
+			end = fail
 		}
-		p.Ended(start, start, j, end)
+		p.Ended(at, at, j, end)
 		p.Leave(j)
 	}
-	for range 100 {
-		j, s := p.Begin(start, safe, start.Add(time.Hour))
-		if s.Scheduler == 0 {
-			t.Fatal("a scheduler that is set aside was picked")
+	return tries
+}
+
+// A scheduler that fails is set aside after some failures, at once if nobody listens there;
+// a single try then finds out whether it is back. A desk without room says nothing of it.
+func TestEjection(t *testing.T) {
+	for _, c := range []struct {
+		end  Result
+		want int
+	}{{Result{Proof: Unreached}, 1}, {Result{Proof: Lost}, 3}, {Result{Proof: Garbled}, 3}} {
+		p := newPlan(t, config())
+		if got := ends(p, start, 100, 0, c.end); got != c.want || p.Well() != 2 {
+			t.Errorf("%+v: %d tries before it was set aside, %d are well", c.end, got, p.Well())
 		}
-		p.Leave(j)
-	}
-	later := start.Add(2 * time.Second)
-	trials := 0
-	var trial *Job
-	for range 100 {
-		j, s := p.Begin(later, safe, later.Add(time.Hour))
-		if s.Scheduler == 0 {
-			trials++
-			trial = j
+		later := start.Add(2 * time.Second)
+		trials := 0
+		var trial *Job
+		for range 100 {
+			if j, s := p.Begin(later, safe, later.Add(time.Hour)); s.Scheduler == 0 {
+				trials++
+				trial = j
+			}
+		}
+		if trials != 1 {
+			t.Errorf("%d trials at once", trials)
+			continue
+		}
+		// A refusal is the word of one that is well.
+		if p.Ended(later, later, trial, Result{Status: 503}); p.Well() != 3 {
+			t.Error("it is still set aside")
 		}
 	}
-	if trials != 1 {
-		t.Errorf("%d trials at once", trials)
-	}
-	p.Ended(later, later, trial, Result{Status: 503}) // a refusal is the word of one that is well
-	if !p.scheds[0].until.IsZero() {
-		t.Error("it is still set aside")
+	p := newPlan(t, config())
+	if got := ends(p, start, 100, 0, Result{Proof: NoRoom}); got < 10 || p.Well() != 3 {
+		t.Errorf("for want of room in the desk a scheduler was set aside after %d tries", got)
 	}
+}
+
+// At most half are set aside by answers that do not come; all may be by nobody listening.
+// Then jobs wait for one to be back, or are refused at once if that is too late for them.
+func TestFloor(t *testing.T) {
+	p := newPlan(t, config())
 	for i := range p.scheds {
 		for range 5 {
-			p.judge(later, i, Result{Proof: NotSent})
+			p.judge(start, i, Result{Proof: Lost})
 		}
 	}
-	if n := p.aside(); n != 1 {
-		t.Errorf("%d of 3 are set aside, want at most half", n)
+	if n := p.Well(); n != 2 {
+		t.Errorf("%d of 3 are well, want at least half", n)
+	}
+	for i := range p.scheds {
+		p.judge(start, i, Result{Proof: Unreached})
+	}
+	if n := p.Well(); n != 0 {
+		t.Errorf("%d are well where nobody listens", n)
+	}
+	j, s := p.Begin(start, post, start.Add(5*time.Second))
+	if s.Verdict != Pending || s.Go || !s.Away || s.At.Before(start.Add(400*time.Millisecond)) {
+		t.Fatalf("%+v, want to wait", s)
+	}
+	if s = p.Start(s.At, j); !s.Go {
+		t.Errorf("no trial after the wait: %+v", s)
+	}
+	if _, s = p.Begin(start, post, start.Add(100*time.Millisecond)); s.Verdict != Refused || s.At.IsZero() {
+		t.Errorf("%+v, want to be refused at once, with a time", s)
+	}
+	// The times aside are spread, as all desks lose a scheduler at once.
+	seen := map[time.Time]bool{}
+	for seed := range uint64(50) {
+		p, _ := New(config(), seed)
+		p.judge(start, 0, Result{Proof: Unreached})
+		seen[p.scheds[0].until.Truncate(50*time.Millisecond)] = true
+	}
+	if len(seen) < 10 {
+		t.Errorf("50 desks come back in %d slots of 50 ms", len(seen))
+	}
+}
+
+// A scheduler that refuses all at once looks idle: it must not draw the jobs.
+func TestOneThatRefusesAll(t *testing.T) {
+	p := newPlan(t, config())
+	if got := ends(p, start, 1000, 0, Result{Status: 503, Advised: true, Advice: time.Second}); got > 200 {
+		t.Errorf("%d of 1,000 jobs went to it", got)
+	}
+	// And a retry goes elsewhere.
+	for range 50 {
+		j, s := p.Begin(start, safe, start.Add(time.Hour))
+		was := s.Scheduler
+		if s = p.Ended(start, start, j, Result{Status: 503}); s.Verdict == Pending {
+			if s = p.Start(s.At, j); s.Scheduler == was {
+				t.Error("a retry goes where it was refused")
+			}
+			p.Leave(j)
+		}
 	}
 }
 
@@ -240,6 +307,12 @@
 		now, fresh, retries := start, 0, 0
 		var open []*life
 		take := func(l *life, s Step) bool {
+			for s.Verdict == Pending && !s.Go {
+				if s.At.Before(now) {
+					t.Fatal("a wait ends in the past")
+				}
+				s = p.Start(s.At, l.job) // whatever happens meanwhile to others
+			}
 			if s.Verdict != Pending {
 				return false
 			}
--- /dev/null
+++ b/desk/observer.go
@@ -0,0 +1,57 @@
+package desk
+
+import (
+	"time"
+
+	"dahliaford/desk/internal/plan"
+)
+
+// Observer is told what a client does, for counters and histograms. Its methods must be
+// safe for many goroutines, return at once and not call the client. Package
+// dahliaford/desk/prom has one for Prometheus.
+type Observer interface {
+	// Tried is told of each try: its scheduler, how it ended (served, refused, failed,
+	// invalid, unreached, not sent, no room, crossed, lost or garbled), and what it took.
+	Tried(scheduler, class, outcome string, took time.Duration)
+	// Ended is told of each job: its Verdict, the tries that a result took (0 without a
+	// result), and what it took in all.
+	Ended(class, verdict string, tries int, took time.Duration)
+	// Connected is told of each new connection, and of each that did not come up.
+	Connected(scheduler string, err error)
+	// Throttled is told when a job got no retry because the budget was used up.
+	Throttled()
+}
+
+type nobody struct{}
+
+func (nobody) Tried(string, string, string, time.Duration) {}
+func (nobody) Ended(string, string, int, time.Duration)    {}
+func (nobody) Connected(string, error)                     {}
+func (nobody) Throttled()                                  {}
+
+// word says how a try ended.
+func (o outcome) word() string {
+	switch o.proof {
+	case plan.Unreached:
+		return "unreached"
+	case plan.NotSent:
+		return "not sent"
+	case plan.NoRoom:
+		return "no room"
+	case plan.Crossed:
+		return "crossed"
+	case plan.Lost:
+		return "lost"
+	case plan.Garbled:
+		return "garbled"
+	}
+	switch {
+	case o.status == 200:
+		return "served"
+	case o.status == 503 || o.status == 429:
+		return "refused"
+	case o.status >= 400 && o.status < 500:
+		return "invalid"
+	}
+	return "failed"
+}
