Keep desks to few schedulers, and drill the client library beside plain desks

Need: the drill had two schedulers and one client. With 200 desks at six schedulers that shrink to two, one job in nine of the library ended unknown though nothing was lost: a scheduler short of sockets closes idle connections, and the library sent on ones that had already ended. And every desk held connections to every scheduler, so that nearly each job needed a new one.

Change: a kept connection is looked at before it is used; one that has ended is no try, and its scheduler is left alone for a moment. A desk keeps to the first of its own order of schedulers, spilling over with load; only one that would be its own is tried again. Refusals that close the connection set a scheduler aside, and a connection that does not come up is no try of the job. The budget begins with one retry instead of ten. The drill runs desks that retry at once, and with backoff, beside the library, plus one fleet whose regions do wrong, and keeps a table and charts.

--- a/cmd/dahliaford/send.go
+++ b/cmd/dahliaford/send.go
@@ -22,7 +22,7 @@
 
 type sendCmd struct {
 	Desk      string        `help:"The desk's configuration file." placeholder:"FILE"`
-	Scheduler []string      `help:"A scheduler, before the file's; repeatable." sep:"none" placeholder:"HOST:PORT"`
+	Scheduler []string      `help:"Instead of the file's; repeatable." sep:"none" placeholder:"ADDR"`
 	Class     string        `help:"The job's class."`
 	Tenant    string        `help:"Whose job it is, in place of the desk's tenant."`
 	Object    string        `help:"What it is about: the last part of the path."`
--- a/cmd/dahlialab/drill.go
+++ b/cmd/dahlialab/drill.go
@@ -19,6 +19,7 @@
 	For  time.Duration `help:"Longest time to go on." default:"60s"`
 	Seed uint64        `help:"Seed of all that is left to chance." default:"1"`
 	JSON bool          `name:"json" help:"Only the line of JSON."`
+	Keep string        `help:"Folder to keep the table and the charts in." type:"path"`
 }
 
 // report is what a drill found. Its table goes to standard output before the line.
@@ -26,6 +27,7 @@
 	ok      bool
 	figures map[string]any
 	table   [][]string
+	chart   chart // nil: there is none
 }
 
 // experiment is what a drill runs until its context ends. Progress goes to say.
@@ -42,7 +44,7 @@
 var drills = map[string]drill{
 	"attempt": {"the real program against stand-ins that do wrong whatever they may; checks what all saw",
 		onProgram(15*time.Second, attempts)},
-	"desk": {"the client library against two real schedulers, one of which is killed half way",
+	"desk": {"desks of the library beside plain ones, at real schedulers that go and come back",
 		onProgram(8*time.Second, desks)},
 	"planted": {"plants faults in the program, one build each, and lets the explorer find them",
 		planting},
@@ -82,6 +84,11 @@
 		return err
 	}
 	fmt.Println(string(raw))
+	if c.Keep != "" {
+		if err := r.keep(c.Keep, c.Name, raw); err != nil {
+			return err
+		}
+	}
 	if !r.ok {
 		return exit{status: broken}
 	}
--- a/desk/conn.go
+++ b/desk/conn.go
@@ -40,7 +40,7 @@
 
 	mu     sync.Mutex
 	idle   [][]*conn
-	lost   []time.Time // when one last broke, or did not come up
+	lost   time.Time // when one last broke, or did not come up
 	closed bool
 }
 
@@ -50,7 +50,7 @@
 	connectWithin = time.Second
 	// reconnectSpread is how far connections that replace lost ones are spread: all desks
 	// lose theirs at the same moment.
-	reconnectSpread = 200 * time.Millisecond
+	reconnectSpread = 300 * time.Millisecond
 	// lossMatters is how long after a loss new connections are spread.
 	lossMatters = 2 * time.Second
 )
@@ -60,8 +60,10 @@
 
 func (e errNoRoom) Unwrap() error { return e.error }
 
+var errParted = errors.New("the scheduler had closed its kept connections")
+
 func newPool(addrs []string, most int, perSecond float64, opened func(int, error)) *pool {
-	p := &pool{addrs: addrs, idle: make([][]*conn, len(addrs)), lost: make([]time.Time, len(addrs)),
+	p := &pool{addrs: addrs, idle: make([][]*conn, len(addrs)),
 		opened: opened, pace: rate.NewLimiter(rate.Limit(perSecond), max(1, int(math.Ceil(perSecond/5))))}
 	for range addrs {
 		p.room = append(p.room, make(chan struct{}, most))
@@ -76,9 +78,14 @@
 	case <-ctx.Done():
 		return nil, errNoRoom{ctx.Err()}
 	}
-	if c := p.kept(i); c != nil {
+	c, ended := p.kept(i)
+	if c != nil {
 		return c, nil
 	}
+	if ended {
+		<-p.room[i]
+		return nil, errParted
+	}
 	inner, err := p.open(ctx, i)
 	if err != nil {
 		<-p.room[i]
@@ -93,7 +100,7 @@
 		return nil, errNoRoom{err}
 	}
 	p.mu.Lock()
-	loss := p.lost[i]
+	loss := p.lost
 	p.mu.Unlock()
 	if time.Since(loss) < lossMatters {
 		if err := rest(ctx, time.Now().Add(rand.N(reconnectSpread)), nil); err != nil {
@@ -104,37 +111,36 @@
 	c, err := dialer.DialContext(ctx, "tcp", p.addrs[i])
 	p.opened(i, err)
 	if err != nil {
-		p.lose(i)
+		p.lose()
 	}
 	return c, err
 }
 
 // lose notes that a connection was lost, or did not come up.
-func (p *pool) lose(i int) {
+func (p *pool) lose() {
 	p.mu.Lock()
-	p.lost[i] = time.Now()
+	p.lost = time.Now()
 	p.mu.Unlock()
 }
 
-// kept takes the connection that has idled the shortest; older ones are closed.
-func (p *pool) kept(i int) *conn {
+// kept takes the connection that has idled the shortest and is still there; what is older
+// than allowed is closed. ended tells that there were some, and the scheduler closed them.
+func (p *pool) kept(i int) (c *conn, ended bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(p.idle[i])
-	if n == 0 {
-		return nil
-	}
-	c := p.idle[i][n-1]
-	p.idle[i] = p.idle[i][:n-1]
-	if time.Since(c.since) <= keptFor {
-		return c
-	}
-	c.Close()
-	for _, older := range p.idle[i] {
-		older.Close()
+	for n := len(p.idle[i]); n > 0; n-- {
+		c := p.idle[i][n-1]
+		p.idle[i] = p.idle[i][:n-1]
+		if time.Since(c.since) <= keptFor {
+			if alive(c.Conn) {
+				c.SetDeadline(time.Time{}) // of the last try, which a cancelled caller may have cut
+				return c, false
+			}
+			ended = true
+		}
+		c.Close()
 	}
-	p.idle[i] = nil
-	return nil
+	return nil, ended
 }
 
 // put gives a connection back: to be used again, or to be closed.
@@ -170,11 +176,18 @@
 	body    []byte
 	advised bool
 	advice  time.Duration
+	closing bool
 	err     error
 }
 
 func (o outcome) result() plan.Result {
-	return plan.Result{Proof: o.proof, Status: o.status, Advised: o.advised, Advice: o.advice}
+	return plan.Result{Proof: o.proof, Status: o.status, Advised: o.advised, Advice: o.advice,
+		Closing: o.closing}
+}
+
+// handedIn tells whether a scheduler had any of the job.
+func (o outcome) handedIn() bool {
+	return o.proof != plan.Unreached && o.proof != plan.Parted && o.proof != plan.NoRoom
 }
 
 // try makes one try, and says what its end proves.
@@ -186,6 +199,8 @@
 	switch {
 	case errors.As(err, &room):
 		return outcome{proof: plan.NoRoom, err: err}
+	case err == errParted:
+		return outcome{proof: plan.Parted, err: err}
 	case err != nil:
 		return outcome{proof: plan.Unreached, err: err}
 	}
@@ -199,12 +214,12 @@
 		return outcome{proof: plan.NoRoom, err: context.DeadlineExceeded}
 	}
 	if _, err := link.Write(c.request(job, step, left)); err != nil { // it is out whole, or not
-		c.pool.lose(step.Scheduler)
+		c.pool.lose()
 		return outcome{proof: plan.NotSent, err: err}
 	}
 	o := link.answer()
 	if o.proof != plan.Answered {
-		c.pool.lose(step.Scheduler)
+		c.pool.lose()
 	}
 	again = o.proof == plan.Answered && !link.last
 	return o
@@ -260,7 +275,7 @@
 			return unread(err)
 		}
 		c.last = r.Close
-		o := outcome{proof: plan.Answered, status: r.Status, body: r.Body}
+		o := outcome{proof: plan.Answered, status: r.Status, body: r.Body, closing: r.Close}
 		o.advice, o.advised = advice(r.Header.Get("Retry-After"))
 		return o
 	}
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -265,9 +265,11 @@
 			continue
 		}
 		began := time.Now()
-		tries++
 		last = c.try(ctx, job, step, deadline)
-		ran = ran || last.proof != plan.Unreached && last.proof != plan.NotSent && last.proof != plan.NoRoom
+		if last.handedIn() {
+			tries++
+			ran = ran || last.proof != plan.NotSent
+		}
 		if err := ctx.Err(); err != nil && last.proof != plan.Answered && time.Now().Before(deadline) {
 			return nil, c.leave(planned, ran, err)
 		}
--- a/desk/internal/plan/plan.go
+++ b/desk/internal/plan/plan.go
@@ -26,7 +26,7 @@
 type Class struct {
 	Effect Effect
 	Window time.Duration // for Anywhere: how long repeats are dropped, from the first try on
-	Tries  int           // at most, the first one included
+	Tries  int           // at most, the first one included; those count that were handed in
 }
 
 // Config is what a desk is told.
@@ -34,7 +34,8 @@
 	Schedulers int     // how many there are; they are numbered from 0
 	Classes    []Class // by number
 	// Budget is the share of fresh jobs that retries may amount to, and Spare how many may
-	// be saved up. When it is used up, a caller gets the refusal at once.
+	// be saved up; the first one is given. When it is used up, a caller gets the refusal at
+	// once.
 	Budget float64
 	Spare  float64
 	// Backoff is the first wait after a refusal that names none, doubling up to Longest.
@@ -58,6 +59,9 @@
 	Answered Proof = iota // there is a whole answer: see Status
 	// Unreached: the connection was refused, or never came up. Nobody has taken the job.
 	Unreached
+	// Parted: the scheduler had closed the kept connections while they idled; no other was
+	// opened. It is ending, or short of sockets.
+	Parted
 	// NotSent: the connection broke before the last byte of the request was out. Nobody can
 	// have read the job whole.
 	NotSent
@@ -79,6 +83,9 @@
 	// Advice is when the scheduler said to come back, counted from the answer; with Advised.
 	Advised bool
 	Advice  time.Duration
+	// Closing: the scheduler closes the connection after its answer. With a refusal it is
+	// about to end, or short of sockets.
+	Closing bool
 }
 
 // Verdict is the end of a job.
@@ -125,6 +132,7 @@
 	random *rand.Rand
 	tokens float64
 	scheds []sched
+	order  []int // in which this desk turns to them
 
 	throttled int
 }
@@ -164,8 +172,9 @@
 			return nil, fmt.Errorf("classes[%d].window: it must be positive", i)
 		}
 	}
-	return &Plan{cfg: cfg, random: rand.New(rand.NewPCG(seed, 0)), tokens: cfg.Spare,
-		scheds: make([]sched, cfg.Schedulers)}, nil
+	random := rand.New(rand.NewPCG(seed, 0))
+	return &Plan{cfg: cfg, random: random, tokens: min(1, cfg.Spare), scheds: make([]sched, cfg.Schedulers),
+		order: random.Perm(cfg.Schedulers)}, nil
 }
 
 // Begin takes a new job. Its deadline is set here once and for all.
@@ -236,8 +245,16 @@
 	if !j.first.IsZero() && j.end == Refused {
 		j.end = Unknown // this try did not run; an earlier one may have
 	}
+	if r.Proof == Unreached || r.Proof == Parted {
+		// That was no try: nobody had the job, and it costs no scheduler anything. Its number
+		// is bounded, as the scheduler is set aside.
+		j.tries--
+		return Step{At: now}
+	}
 	back := p.comeBack(now, j, r)
 	switch {
+	case r.Proof == NoRoom:
+		return p.finish(j, Step{Verdict: j.end, At: back})
 	case j.tries >= j.class.Tries, !back.Before(j.deadline), !mayRepeat(j, back):
 		return p.finish(j, Step{Verdict: j.end, At: back})
 	case p.tokens < 1:
@@ -268,7 +285,7 @@
 // mayHaveRun tells what the end of a try leaves open.
 func mayHaveRun(r Result) bool {
 	switch r.Proof {
-	case Unreached, NotSent, NoRoom:
+	case Unreached, Parted, NotSent, NoRoom:
 		return false
 	case Answered:
 		return r.Status != 503 && !(r.Status >= 400 && r.Status < 500)
@@ -284,7 +301,7 @@
 			return Refused
 		}
 		return Failed
-	case Unreached, NotSent, NoRoom:
+	case Unreached, Parted, NotSent, NoRoom:
 		return Refused // nobody took it: a repeat is harmless
 	}
 	return Unknown
@@ -310,16 +327,24 @@
 // of one that is well, though others may be the better choice.
 func (p *Plan) judge(now time.Time, i int, r Result) {
 	s := &p.scheds[i]
-	if r.Proof == NoRoom {
+	switch r.Proof {
+	case NoRoom:
 		return
-	}
-	if r.Proof == Answered {
+	case Parted:
+		if s.until.IsZero() && p.Well() > 1 {
+			p.eject(now, s)
+		}
+		return
+	case Answered:
 		s.fails, s.ejected, s.until = 0, 0, time.Time{}
 		refused := 0.0
 		if r.Status == 503 || r.Status == 429 {
 			refused = 1
 		}
 		s.refuses += refusalWeight * (refused - s.refuses)
+		if refused > 0 && r.Closing && 2*(p.aside()+1) <= len(p.scheds) {
+			p.eject(now, s)
+		}
 		return
 	}
 	s.fails++
@@ -334,8 +359,13 @@
 	if now.Before(s.until) {
 		return // several tries that were under way tell the same
 	}
+	p.eject(now, s)
+}
+
+// eject sets a scheduler aside, for a time that is spread: all desks lose one at the same
+// moment.
+func (p *Plan) eject(now time.Time, s *sched) {
 	s.ejected = min(max(2*s.ejected, p.cfg.Eject), p.cfg.EjectMost)
-	// Spread, as all desks lose a scheduler at the same moment.
 	s.until = now.Add(s.ejected/2 + time.Duration(p.random.Float64()*float64(s.ejected)))
 }
 
@@ -360,20 +390,25 @@
 	return n
 }
 
-// pick takes the less busy of two that are drawn from those that are well, and another one
-// than the last if it can. One whose time aside is over gets a single try first. With none
-// it tells when there may be one.
+// mostOfOwn is the load beyond which a desk turns to further schedulers. Below it, it keeps
+// to the first of its order that are well: kept connections are used again only if jobs come
+// to the same ones, and a scheduler has no sockets for a connection from every desk.
+const mostOfOwn = 4
+
+// pick takes a scheduler of those that are well, and another one than the last if it can.
+// One whose time aside is over gets a single try first. With none it tells when there may
+// be one.
 func (p *Plan) pick(now time.Time, last int) (int, time.Time) {
 	var well []int
 	var back time.Time
-	for i := range p.scheds {
+	for _, i := range p.order {
 		s := &p.scheds[i]
 		switch {
 		case s.until.IsZero():
 			if i != last {
 				well = append(well, i)
 			}
-		case !now.Before(s.until) && !s.trial:
+		case !now.Before(s.until) && !s.trial && len(well) == 0: // it would be the desk's own
 			s.trial = true
 			return i, now
 		default:
@@ -392,11 +427,21 @@
 	if len(well) == 0 {
 		return -1, back.Add(time.Duration(p.random.Float64() * float64(p.cfg.Eject) / 4))
 	}
-	a, b := well[p.random.IntN(len(well))], well[p.random.IntN(len(well))]
+	for own := 1; ; own *= 2 {
+		best := p.lessBusy(well[:min(own, len(well))])
+		if own >= len(well) || p.scheds[best].load() <= mostOfOwn {
+			return best, now
+		}
+	}
+}
+
+// lessBusy takes the less busy of two that are drawn.
+func (p *Plan) lessBusy(of []int) int {
+	a, b := of[p.random.IntN(len(of))], of[p.random.IntN(len(of))]
 	if p.scheds[b].load() < p.scheds[a].load() {
-		return b, now
+		return b
 	}
-	return a, now
+	return a
 }
 
 func (s *sched) load() float64 { return float64(s.open+1) * (1 + refusalCost*s.refuses) }
--- a/desk/observer.go
+++ b/desk/observer.go
@@ -10,8 +10,9 @@
 // safe for many goroutines, return at once and not call the client. Package
 // dahliaford/desk/prom has one for Prometheus.
 type Observer interface {
-	// Tried is told of each try: its scheduler, how it ended (served, refused, failed,
-	// invalid, unreached, not sent, no room, crossed, lost or garbled), and what it took.
+	// Tried is told of each try, and of each that came to nothing for want of a connection
+	// (unreached, parted, no room): its scheduler, how it ended (served, refused, failed,
+	// invalid, unreached, parted, not sent, no room, crossed, lost or garbled), and what it took.
 	Tried(scheduler, class, outcome string, took time.Duration)
 	// Ended is told of each job: its Verdict, the tries that a result took (0 without a
 	// result), and what it took in all.
@@ -34,6 +35,8 @@
 	switch o.proof {
 	case plan.Unreached:
 		return "unreached"
+	case plan.Parted:
+		return "parted"
 	case plan.NotSent:
 		return "not sent"
 	case plan.NoRoom:
--- a/internal/rig/site.go
+++ b/internal/rig/site.go
@@ -9,9 +9,10 @@
 // site is one scheduler with its discovery and its regions, which call it back.
 type site struct {
 	*Process
-	regions   []*standin.Region
-	lines     []standin.Line // of the regions, ready
-	discovery *standin.Discovery
+	bin, folder, name string
+	regions           []*standin.Region
+	lines             []standin.Line // of the regions, ready
+	discovery         *standin.Discovery
 }
 
 // startSite starts a site with a region for each line: UID and Group are told, the rest is
@@ -19,7 +20,7 @@
 func startSite(bin, folder, name string, lines []standin.Line,
 	plan func(k int) func(standin.Job) standin.Plan,
 	rec standin.Recorder) (s *site, err error) {
-	s = &site{}
+	s = &site{bin: bin, folder: folder, name: name}
 	defer func() {
 		if err != nil {
 			s.close()
@@ -47,6 +48,15 @@
 	return s, nil
 }
 
+// again starts the scheduler anew, at the address that it had.
+func (s *site) again() error {
+	p, err := startAt(s.bin, s.folder, s.name, s.Addr, s.discovery.Addr())
+	if err == nil {
+		s.Process = p
+	}
+	return err
+}
+
 // close ends all of it, the scheduler first.
 func (s *site) close() {
 	if s.Process != nil {
