Explore the client library's decisions in every order, and test its hard cases

Need: the plan was tested by tables and at random, and the library against a real scheduler that does no harm. Issue: client, two schedulers, lost answers, crossing closes.

Change: explore.Exhaust sees all states of any small model; the plan's world has two schedulers that go and come, every end of a try, and callers that leave.

It found one fault: a job that nobody listened to was planned past its deadline.

--- a/cmd/dahlialab/desks.go
+++ b/cmd/dahlialab/desks.go
@@ -24,7 +24,7 @@
 	deskSchedulers = 6
 	deskLeft       = 2  // of the schedulers
 	deskRegions    = 12 // of each scheduler
-	deskRate       = 2. // jobs a second of each desk
+	deskRate       = 4. // jobs a second of each desk
 	deskGrace      = 50 * time.Millisecond
 	deskSlot       = 100 * time.Millisecond // of the figures over time
 	deskSettled    = 3 * time.Second        // until every desk has its first connections
--- a/desk/desk_test.go
+++ b/desk/desk_test.go
@@ -4,9 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
-	"os/exec"
-	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -60,6 +59,13 @@
 						return
 					case "close":
 						return
+					case "trickle": // a byte a second
+						for i := range len(served) {
+							if _, err := io.WriteString(conn, served[i:i+1]); err != nil {
+								return
+							}
+							time.Sleep(time.Second)
+						}
 					case "silent":
 						read.Request() // until the other side ends
 						return
@@ -303,11 +309,9 @@
 // Desks against the real program: what is served is what the region made, nothing that must
 // not run twice does, and every call returns once.
 func TestAgainstTheRealProgram(t *testing.T) {
-	bin := filepath.Join(t.TempDir(), "dahliaford")
-	build := exec.Command("go", "build", "-o", bin, "./cmd/dahliaford")
-	build.Dir = ".."
-	if out, err := build.CombinedOutput(); err != nil {
-		t.Fatalf("%v: %s", err, out)
+	bin, err := program()
+	if err != nil {
+		t.Fatal(err)
 	}
 	var mu sync.Mutex
 	runs := map[string]int{}
--- /dev/null
+++ b/desk/hard_test.go
@@ -0,0 +1,354 @@
+package desk
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dahliaford/desk/internal/plan"
+	"dahliaford/internal/http1"
+	"dahliaford/internal/rig"
+)
+
+// program is the real scheduler, built once for all tests.
+var program = sync.OnceValues(func() (string, error) {
+	folder, err := os.MkdirTemp("", "desk")
+	if err != nil {
+		return "", err
+	}
+	bin := filepath.Join(folder, "dahliaford")
+	build := exec.Command("go", "build", "-o", bin, "./cmd/dahliaford")
+	build.Dir = ".."
+	if out, err := build.CombinedOutput(); err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	return bin, nil
+})
+
+func TestMain(m *testing.M) {
+	status := m.Run()
+	if bin, err := program(); err == nil {
+		os.RemoveAll(filepath.Dir(bin))
+	}
+	os.Exit(status)
+}
+
+func fleet(t *testing.T, schedulers int) *rig.Fleet {
+	t.Helper()
+	bin, err := program()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := rig.StartFleet(bin, t.TempDir(), schedulers, 4, 1, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.Close)
+	return f
+}
+
+// slack is what a busy machine may add to the deadline in a test; the drill keeps to 50 ms.
+const slack = 2 * time.Second
+
+// cutter passes connections on to a scheduler, and breaks each after so many bytes of one
+// direction.
+type cutter struct {
+	net.Listener
+	to       string
+	requests bool // the bytes that are counted are those of requests, not of answers
+	after    int64
+}
+
+func cut(t *testing.T, to string, requests bool, after int64) *cutter {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := &cutter{l, to, requests, after}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go c.pass(conn)
+		}
+	}()
+	return c
+}
+
+func (c *cutter) pass(desk net.Conn) {
+	defer desk.Close()
+	scheduler, err := net.Dial("tcp", c.to)
+	if err != nil {
+		return
+	}
+	defer scheduler.Close()
+	over := make(chan bool, 2)
+	relay := func(to, from net.Conn, limited bool) {
+		if limited {
+			io.CopyN(to, from, c.after)
+		} else {
+			io.Copy(to, from)
+		}
+		over <- true
+	}
+	go relay(scheduler, desk, c.requests)
+	go relay(desk, scheduler, !c.requests)
+	<-over
+}
+
+// The exchange of a post-reading with the real program breaks at every byte, of the request
+// and of the answer: it runs once at most, and what ran is never called refused.
+func TestLostAtEveryByteOfTheExchange(t *testing.T) {
+	f := fleet(t, 1)
+	addr := f.Schedulers()[0]
+	var lengths [2]int64 // of a request and of an answer
+	l := client(t, addr)
+	if _, err := l.Do(t.Context(), Job{Class: "post-reading", Body: []byte("first")}); err != nil {
+		t.Fatal(err)
+	}
+	lengths[0] = int64(len(l.request(&Job{Class: "post-reading", Body: []byte("post-reading true 100")},
+		plan.Step{}, 4000)))
+	lengths[1] = int64(len(http1.AppendResponse(nil, 200, []http1.Field{{Name: "Connection", Value: "keep-alive"}},
+		[]byte("POST-READING TRUE 100"))))
+	var all sync.WaitGroup
+	room := make(chan bool, 16)
+	var mu sync.Mutex
+	ends := map[string]int{}
+	for way, length := range lengths {
+		for after := range length + 2 {
+			room <- true
+			all.Go(func() {
+				defer func() { <-room }()
+				c := cut(t, addr, way == 0, after)
+				defer c.Close()
+				body := fmt.Sprint("post-reading ", way == 0, " ", after)
+				client, err := New(Config{Schedulers: []string{c.Addr().String()}, Tenant: "sahel", Budget: 1,
+					Classes: map[string]Class{"post-reading": {Deadline: 2 * time.Second, Effect: Once}}})
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				defer client.Close()
+				_, err = client.Do(t.Context(), Job{Class: "post-reading", Body: []byte(body)})
+				ran := f.Ran(body)
+				mu.Lock()
+				defer mu.Unlock()
+				ends[Verdict(err)]++
+				if ran > 1 || ran > 0 && Verdict(err) == "refused" {
+					t.Errorf("%s ran %d times, %v", body, ran, err)
+				}
+			})
+		}
+	}
+	all.Wait()
+	if saw := f.Runs(); saw.Twice > 0 {
+		t.Errorf("%d post-readings ran twice", saw.Twice)
+	}
+	if ends["unknown"] < int(lengths[1])/2 {
+		t.Errorf("the ends were %v: the answers were not lost", ends)
+	}
+}
+
+// Schedulers end in order, then without a word, and at last all at once, under load, and
+// are back within 2 s: jobs wait for them rather than fail, and nothing runs twice.
+func TestRestarts(t *testing.T) {
+	f := fleet(t, 2)
+	c, err := New(Config{Schedulers: f.Schedulers(), Tenant: "sahel", Classes: map[string]Class{
+		"post-reading": {Deadline: 6 * time.Second, Effect: Once}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	var mu sync.Mutex
+	ends := map[string]int{}
+	var open sync.WaitGroup
+	stop := make(chan bool)
+	open.Go(func() {
+		tick := time.NewTicker(10 * time.Millisecond)
+		defer tick.Stop()
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-tick.C:
+			}
+			open.Go(func() {
+				deadline := time.Now().Add(6 * time.Second)
+				_, err := c.Do(t.Context(), Job{Class: "post-reading", Body: fmt.Append(nil, "job ", n),
+					Deadline: deadline})
+				mu.Lock()
+				defer mu.Unlock()
+				ends[Verdict(err)]++
+				if late := time.Since(deadline); late > slack {
+					t.Errorf("job %d returned %v late", n, late)
+				}
+			})
+		}
+	})
+	served := func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return ends["served"]
+	}
+	more := func() {
+		had := served()
+		waitFor(t, func() bool { return served() > had+20 })
+	}
+	must := func(err error) {
+		if err != nil {
+			t.Error(err)
+		}
+	}
+	more()
+	must(f.Stop(0, time.Now().Add(20*time.Second)))
+	more()
+	must(f.Again(0))
+	f.Kill(1)
+	more()
+	must(f.Again(1))
+	f.Kill(0)
+	f.Kill(1)
+	must(f.Again(0))
+	must(f.Again(1))
+	more()
+	close(stop)
+	open.Wait()
+	if saw := f.Runs(); saw.Twice > 0 {
+		t.Errorf("%d post-readings ran twice", saw.Twice)
+	}
+	all := 0
+	for _, n := range ends {
+		all += n
+	}
+	// Only what a killed scheduler held is lost; what was refused in between found another one.
+	if lost := all - ends["served"]; lost > all/4 {
+		t.Errorf("%v", ends)
+	}
+}
+
+// What Retry-After says, as a scheduler may say it: when the next try comes.
+func TestRetryAfter(t *testing.T) {
+	for text, least := range map[string]time.Duration{
+		"0": 0, "0.05": 50 * time.Millisecond, "2": 2 * time.Second, "-3": 0, "Wed, 21 Oct 2026 07:28:00 GMT": 0,
+		"soon": 0, "NaN": 0, "": 0,
+		"1e300": -1, "Inf": -1, "86400": -1, // beyond the deadline: refused at once, with the time
+	} {
+		t.Run(text, func(t *testing.T) {
+			t.Parallel()
+			var first atomic.Int64
+			var gap atomic.Int64
+			s := script(t, func(n int64) (string, string) {
+				if n == 1 {
+					first.Store(time.Now().UnixNano())
+					return "HTTP/1.1 503 Busy\r\nRetry-After: " + text + "\r\nContent-Length: 0\r\n\r\n", "keep"
+				}
+				gap.Store(time.Now().UnixNano() - first.Load())
+				return served, "keep"
+			})
+			_, err := client(t, s.Addr().String()).Do(t.Context(), Job{Class: "post-reading"})
+			if least < 0 {
+				refused, ok := err.(*Refused)
+				if !ok || time.Until(refused.After) < 30*time.Second || s.took.Load() != 1 {
+					t.Errorf("%v after %d tries", err, s.took.Load())
+				}
+				return
+			}
+			if err != nil || time.Duration(gap.Load()) < least || time.Duration(gap.Load()) > least+slack {
+				t.Errorf("%v, the next try came after %v, want %v at least", err, time.Duration(gap.Load()), least)
+			}
+		})
+	}
+}
+
+// Beside one that is well: a scheduler that says nothing, one that answers a byte at a time,
+// and one that refuses all in a moment. Most jobs must be served, and all return in time.
+func TestBadSchedulerBesideAGoodOne(t *testing.T) {
+	f := fleet(t, 1)
+	for name, answer := range map[string]func(int64) (string, string){
+		"silent":  func(int64) (string, string) { return "", "silent" },
+		"trickle": func(int64) (string, string) { return "", "trickle" },
+		"refuses": func(int64) (string, string) {
+			return "HTTP/1.1 503 Busy\r\nRetry-After: 0\r\nContent-Length: 0\r\n\r\n", "keep"
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bad := script(t, answer)
+			c, err := New(Config{Schedulers: []string{bad.Addr().String(), f.Schedulers()[0]}, Tenant: "sahel",
+				Seed: 3, Classes: map[string]Class{"post-reading": {Deadline: 700 * time.Millisecond, Effect: Once}}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			ends := map[string]int{}
+			for n := range 40 {
+				deadline := time.Now().Add(700 * time.Millisecond)
+				_, err := c.Do(t.Context(), Job{Class: "post-reading", Body: fmt.Append(nil, name, n), Deadline: deadline})
+				ends[Verdict(err)]++
+				if late := time.Since(deadline); late > slack {
+					t.Errorf("job %d returned %v late", n, late)
+				}
+			}
+			if ends["served"] < 30 {
+				t.Errorf("%v, %d went to the bad one", ends, bad.took.Load())
+			}
+		})
+	}
+}
+
+// Ten thousand jobs wait at a desk when its only scheduler vanishes: no more goroutines than
+// their callers, memory within bounds, and each call returns by its deadline.
+func TestTenThousandWaiting(t *testing.T) {
+	const jobs = 10_000
+	s := script(t, func(int64) (string, string) { return "", "silent" })
+	c, err := New(Config{Schedulers: []string{s.Addr().String()}, Tenant: "sahel", Classes: map[string]Class{
+		"post-reading": {Deadline: 3 * time.Second, Effect: Once}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	before := runtime.NumGoroutine()
+	deadline := time.Now().Add(3 * time.Second)
+	var done sync.WaitGroup
+	var returned, late atomic.Int64
+	ends := make([]atomic.Int64, 2) // unknown, refused
+	for range jobs {
+		done.Go(func() {
+			_, err := c.Do(t.Context(), Job{Class: "post-reading", Deadline: deadline})
+			returned.Add(1)
+			switch Verdict(err) {
+			case "unknown":
+				ends[0].Add(1)
+			case "refused":
+				ends[1].Add(1)
+			}
+			if time.Since(deadline) > slack {
+				late.Add(1)
+			}
+		})
+	}
+	waitFor(t, func() bool { return s.took.Load() > 0 })
+	s.Close() // nobody listens any more; what is open stays silent
+	if most := before + jobs + 1000; runtime.NumGoroutine() > most {
+		t.Errorf("%d goroutines for %d callers", runtime.NumGoroutine(), jobs)
+	}
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	if m.HeapAlloc > 256<<20 {
+		t.Errorf("%d MB on the heap", m.HeapAlloc>>20)
+	}
+	done.Wait()
+	if ends[0].Load()+ends[1].Load() != jobs || late.Load() > 0 || ends[0].Load() > defaultConnections {
+		t.Errorf("%d unknown, %d refused of %d, %d late", ends[0].Load(), ends[1].Load(), jobs, late.Load())
+	}
+}
--- a/desk/internal/plan/plan.go
+++ b/desk/internal/plan/plan.go
@@ -249,7 +249,10 @@
 		// That was no try: nobody had the job, and it costs no scheduler anything. Its number
 		// is bounded, as the scheduler is set aside.
 		j.tries--
-		return Step{At: now}
+		if now.Before(j.deadline) {
+			return Step{At: now}
+		}
+		return p.finish(j, Step{Verdict: j.end, At: now})
 	}
 	back := p.comeBack(now, j, r)
 	switch {
@@ -370,10 +373,10 @@
 }
 
 const (
-	refusalWeight = 0.1 // of the last answer in the share of refusals
+	refusalWeight = 0.2 // of the last answer in the share of refusals
 	// refusalCost is how much busier one counts that refuses all: it would look idle, as it
 	// is done at once, and draw everything. Where all refuse alike it changes nothing.
-	refusalCost = 4
+	refusalCost = 8
 )
 
 // Well counts the schedulers that are not set aside.
--- /dev/null
+++ b/desk/internal/plan/world_test.go
@@ -0,0 +1,351 @@
+package plan
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"dahliaford/internal/explore"
+)
+
+// world is one desk with a few jobs, two schedulers and a network that loses: the plan that
+// serves, not a copy, in every order of what may happen to each try. The schedulers drop
+// repeats of a key as the class promises.
+type world struct {
+	cfg  Config
+	plan *Plan
+	now  time.Time
+	jobs []life
+	down [2]bool
+	left int // faults that may still happen
+	// misjudge says what the desk takes a proof for; nil: for what it is. Planted faults.
+	misjudge func(Proof) Proof
+}
+
+// life is a job, and what the schedulers saw of it.
+type life struct {
+	job      *Job
+	class    int
+	deadline time.Time
+	begun    bool
+	step     Step
+	began    time.Time
+	tries    int
+	inside   bool // a scheduler has the present try
+	runs     int
+	ranAt    time.Time // when it ran first
+	racks    [2]bool   // where it ran
+	broke    string
+}
+
+const mostFaults = 4
+
+func newWorld(class int, jobs int) *world {
+	cfg := config()
+	cfg.Schedulers, cfg.Budget, cfg.Spare = 2, 1, 10
+	p, err := New(cfg, 1)
+	if err != nil {
+		panic(err)
+	}
+	w := &world{cfg: cfg, plan: p, now: start, left: mostFaults}
+	for range jobs {
+		w.jobs = append(w.jobs, life{class: class, deadline: start.Add(1200 * time.Millisecond)})
+	}
+	return w
+}
+
+func (w *world) clone() *world {
+	c := *w
+	p := *w.plan
+	p.scheds = slices.Clone(p.scheds)
+	// Chance must not tell apart two states that act alike.
+	p.random = rand.New(rand.NewPCG(7, uint64(w.now.Sub(start))))
+	c.plan = &p
+	c.jobs = slices.Clone(w.jobs)
+	for i := range c.jobs {
+		if j := c.jobs[i].job; j != nil {
+			copied := *j
+			c.jobs[i].job = &copied
+		}
+	}
+	return &c
+}
+
+// event is something that may happen to a job, or to a scheduler.
+type event struct {
+	job, scheduler int
+	what           string
+	end            Result
+	after          time.Duration
+	fault          bool
+}
+
+// The ends that a try may have. Before: no scheduler has read it.
+var before = []event{
+	{what: "half written", end: Result{Proof: NotSent}, fault: true},
+	{what: "the close crosses", end: Result{Proof: Crossed}, fault: true},
+	{what: "lost on the way", end: Result{Proof: Lost}, after: 300 * time.Millisecond, fault: true},
+	{what: "no room", end: Result{Proof: NoRoom}, fault: true},
+	{what: "parted", end: Result{Proof: Parted}, fault: true},
+}
+
+// Inside: a scheduler has it. Those with runs let it run, unless the key was seen.
+var inside = []event{
+	{what: "runs, served", end: Result{Status: 200}},
+	{what: "runs, fails", end: Result{Status: 500}, fault: true},
+	{what: "runs, the answer is lost", end: Result{Proof: Lost}, after: 300 * time.Millisecond, fault: true},
+	{what: "runs, dies on a kept connection", end: Result{Proof: Crossed}, fault: true},
+	{what: "runs, garbage", end: Result{Proof: Garbled}, fault: true},
+	{what: "refused", end: Result{Status: 503, Advised: true, Advice: 100 * time.Millisecond}, fault: true},
+	{what: "refused, closing", end: Result{Status: 503, Closing: true}, fault: true},
+	{what: "invalid", end: Result{Status: 400}, fault: true},
+}
+
+func (w *world) events() (all []event) {
+	add := func(e event) {
+		if !e.fault || w.left > 0 {
+			all = append(all, e)
+		}
+	}
+	for i := range w.jobs {
+		l := &w.jobs[i]
+		switch {
+		case !l.begun:
+			add(event{job: i, what: "begins"})
+		case l.step.Verdict != Pending:
+		case !l.step.Go:
+			add(event{job: i, what: "its wait ends"})
+		case l.inside:
+			for _, e := range inside {
+				e.job = i
+				add(e)
+			}
+		case w.down[l.step.Scheduler]:
+			add(event{job: i, what: "nobody listens", end: Result{Proof: Unreached}})
+		default:
+			add(event{job: i, what: "is read"})
+			for _, e := range before {
+				e.job = i
+				add(e)
+			}
+		}
+		if l.begun && l.step.Verdict == Pending {
+			add(event{job: i, what: "its caller leaves", fault: true})
+		}
+	}
+	for s := range w.down {
+		add(event{scheduler: s, what: map[bool]string{false: "goes", true: "comes"}[w.down[s]], fault: !w.down[s]})
+	}
+	return all
+}
+
+// Steps implements explore.Model.
+func (w *world) Steps() (names []string) {
+	for _, e := range w.events() {
+		names = append(names, fmt.Sprintf("job %d, scheduler %d: %s", e.job, e.scheduler, e.what))
+	}
+	return names
+}
+
+// Step implements explore.Model.
+func (w *world) Step(i int) *world {
+	e := w.events()[i]
+	w = w.clone()
+	if e.fault {
+		w.left--
+	}
+	l := &w.jobs[e.job]
+	switch e.what {
+	case "goes", "comes":
+		w.down[e.scheduler] = e.what == "goes"
+	case "begins":
+		l.begun = true
+		var s Step
+		l.job, s = w.plan.Begin(w.now, l.class, l.deadline)
+		w.take(l, s)
+	case "its wait ends":
+		w.now = latest(w.now, l.step.At)
+		w.take(l, w.plan.Start(w.now, l.job))
+	case "its caller leaves":
+		w.plan.Leave(l.job)
+		l.step, l.inside = Step{Verdict: Unknown}, false
+	case "is read":
+		l.inside = true
+	default:
+		if l.inside && (e.end.Proof != Answered || e.end.Status == 200 || e.end.Status == 500) {
+			w.run(l)
+		}
+		l.inside = false
+		w.now = w.now.Add(10*time.Millisecond + e.after)
+		if w.misjudge != nil {
+			e.end.Proof = w.misjudge(e.end.Proof)
+		}
+		w.take(l, w.plan.Ended(w.now, l.began, l.job, e.end))
+	}
+	return w
+}
+
+// run lets a job run at a scheduler, which drops a repeat as its class promises.
+func (w *world) run(l *life) {
+	at := l.step.Scheduler
+	class := w.cfg.Classes[l.class]
+	switch {
+	case l.runs == 0:
+		l.ranAt = w.now
+	case class.Effect == Anywhere && w.now.Sub(l.ranAt) < class.Window:
+		return
+	case class.Effect == Rack && l.racks[at]:
+		return
+	}
+	l.runs++
+	l.racks[at] = true
+}
+
+// take notes what the plan wants next, and what is wrong with it.
+func (w *world) take(l *life, s Step) {
+	l.step = s
+	switch {
+	case s.Verdict == Pending && s.Go:
+		l.tries++
+		l.began = w.now
+		if !w.now.Before(l.deadline) {
+			l.broke = "a try starts past the deadline"
+		}
+	case s.Verdict == Pending:
+		if !s.At.Before(l.deadline) || s.At.Before(w.now) {
+			l.broke = fmt.Sprint("it waits until ", s.At.Sub(start))
+		}
+	case (s.Verdict == Refused || s.Verdict == Expired) && l.runs > 0:
+		l.broke = fmt.Sprint("verdict ", s.Verdict, " though it ran")
+	case s.Verdict == Served && l.runs == 0:
+		l.broke = "served though it never ran"
+	}
+}
+
+// Check implements explore.Model.
+func (w *world) Check() error {
+	open := 0
+	for i := range w.jobs {
+		l := &w.jobs[i]
+		if l.begun && l.step.Verdict == Pending && l.step.Go {
+			open++
+		}
+		switch {
+		case l.broke != "":
+			return fmt.Errorf("job %d: %s", i, l.broke)
+		case l.runs > 1 && w.cfg.Classes[l.class].Effect != Safe:
+			return fmt.Errorf("job %d ran %d times", i, l.runs)
+		}
+	}
+	if w.plan.Open() != open {
+		return fmt.Errorf("%d tries are under way, the plan counts %d", open, w.plan.Open())
+	}
+	return nil
+}
+
+// AppendState implements explore.Model.
+func (w *world) AppendState(b []byte) []byte {
+	num := func(n int64) { b = binary.AppendVarint(b, n) }
+	at := func(t time.Time) {
+		if t.IsZero() {
+			num(-1)
+		} else {
+			num(int64(t.Sub(start)))
+		}
+	}
+	flag := func(f bool) {
+		if f {
+			num(1)
+		} else {
+			num(0)
+		}
+	}
+	at(w.now)
+	num(int64(w.left))
+	num(int64(w.plan.tokens * 100))
+	for i := range w.down {
+		s := &w.plan.scheds[i]
+		flag(w.down[i])
+		num(int64(s.open))
+		num(int64(s.fails))
+		num(int64(s.refuses * 1000))
+		num(int64(s.ejected))
+		at(s.until)
+		flag(s.trial)
+	}
+	for i := range w.jobs {
+		l := &w.jobs[i]
+		flag(l.begun)
+		flag(l.inside)
+		num(int64(l.runs))
+		at(l.ranAt)
+		at(l.began)
+		flag(l.racks[0])
+		flag(l.racks[1])
+		b = append(b, l.broke...)
+		num(int64(l.step.Verdict))
+		flag(l.step.Go)
+		num(int64(l.step.Scheduler))
+		at(l.step.At)
+		if j := l.job; j != nil {
+			num(int64(j.tries))
+			at(j.first)
+			num(int64(j.at))
+			flag(j.running)
+			num(int64(j.end))
+			flag(j.over)
+		}
+	}
+	return b
+}
+
+// Every order of what may happen to one job, and to two at once with fewer faults: nothing
+// runs twice that must not, a refusal is only told of what did not run, no try starts past
+// its deadline, and nothing stays open.
+func TestEveryOrder(t *testing.T) {
+	for class, name := range []string{"once", "rack", "anywhere", "safe"} {
+		one := newWorld(class, 1)
+		two := newWorld(class, 2)
+		two.left = 2
+		for _, w := range []*world{one, two} {
+			tour := explore.Exhaust(w, 3_000_000)
+			if tour.Broken != nil || !tour.Exhausted || tour.States < 1000 {
+				t.Errorf("%s, %d jobs: %v, %v, by %q", name, len(w.jobs), tour, tour.Broken, tour.Path)
+			}
+			t.Logf("%s, %d jobs: %v", name, len(w.jobs), tour)
+		}
+	}
+}
+
+// A desk that takes one end of a try for another is found out.
+func TestMisjudgedEndsAreFound(t *testing.T) {
+	for _, c := range []struct {
+		class      int
+		was, taken Proof
+	}{
+		{post, Crossed, Unreached}, // a kept connection that ended, taken for nobody listening
+		{post, Crossed, NotSent},
+		{post, Lost, NotSent},
+		{batch, Garbled, NoRoom},
+		{keyed, Lost, NotSent}, // beyond its window
+	} {
+		w := newWorld(c.class, 1)
+		w.cfg.Classes = slices.Clone(w.cfg.Classes)
+		w.plan.cfg.Classes = w.cfg.Classes
+		w.cfg.Classes[keyed].Window = 200 * time.Millisecond
+		w.misjudge = func(p Proof) Proof {
+			if p == c.was {
+				return c.taken
+			}
+			return p
+		}
+		if tour := explore.Exhaust(w, 3_000_000); tour.Broken == nil {
+			t.Errorf("class %d, %v taken for %v: not found, %v", c.class, c.was, c.taken, tour)
+		} else {
+			t.Logf("%v, by %q", tour.Broken, tour.Path)
+		}
+	}
+}
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -131,6 +131,13 @@
 	return Runs{len(f.ran), f.twice, f.cross}
 }
 
+// Ran tells how many attempts at a post-reading with this body may have run.
+func (f *Fleet) Ran(body string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.posts[body]
+}
+
 // Schedulers are the addresses of the schedulers.
 func (f *Fleet) Schedulers() []string {
 	var addrs []string
