--- a/cmd/dahlialab/desks.go
+++ b/cmd/dahlialab/desks.go
@@ -322,8 +322,9 @@
 		rep.figures[r.name] = map[string]any{"jobs": r.jobs, "returns": r.returns, "ends": r.ends, "late": r.late,
 			"tries_a_job": tries, "connections": sum(r.dials), "peak_connections_100ms": peak(r.dials),
 			"runs": saw.All, "post_readings_twice": saw.Twice, "keys_in_two_racks": saw.Crossed,
-			"latest_return_ms": r.latest.Milliseconds(), "served_in_time": sum(r.served), "connections_by_s": bySecond(r.dials),
-			"served_by_s": bySecond(r.served)}
+			"latest_return_ms": r.latest.Milliseconds(), "served_in_time": sum(r.served),
+			"connections_by_s": bySecond(r.dials),
+			"served_by_s":      bySecond(r.served)}
 	}
 	library, plain := runs[0], runs[1:3]
 	best := slices.MaxFunc(plain, func(a, b *deskRun) int { return int(sum(a.served) - sum(b.served)) })
--- a/desk/hard_test.go
+++ b/desk/hard_test.go
@@ -117,10 +117,10 @@
 	if _, err := l.Do(t.Context(), Job{Class: "post-reading", Body: []byte(f.Mark() + "first")}); err != nil {
 		t.Fatal(err)
 	}
-	lengths[0] = int64(len(l.request(&Job{Class: "post-reading", Body: []byte(f.Mark() + "post-reading true 100")},
-		plan.Step{}, 4000)))
-	lengths[1] = int64(len(http1.AppendResponse(nil, 200, []http1.Field{{Name: "Connection", Value: "keep-alive"}},
-		[]byte(f.Mark()+"POST-READING TRUE 100"))))
+	body := f.Mark() + "post-reading true 100"
+	lengths[0] = int64(len(l.request(&Job{Class: "post-reading", Body: []byte(body)}, plan.Step{}, 4000)))
+	lengths[1] = int64(len(http1.AppendResponse(nil, 200,
+		[]http1.Field{{Name: "Connection", Value: "keep-alive"}}, []byte(body))))
 	var all sync.WaitGroup
 	room := make(chan bool, 16)
 	var mu sync.Mutex
@@ -293,7 +293,8 @@
 			ends := map[string]int{}
 			for n := range 40 {
 				deadline := time.Now().Add(700 * time.Millisecond)
-				_, err := c.Do(t.Context(), Job{Class: "post-reading", Body: fmt.Append(nil, f.Mark(), name, n), Deadline: deadline})
+				_, err := c.Do(t.Context(), Job{Class: "post-reading", Deadline: deadline,
+					Body: fmt.Append(nil, f.Mark(), name, n)})
 				ends[Verdict(err)]++
 				if late := time.Since(deadline); late > slack {
 					t.Errorf("job %d returned %v late", n, late)
--- a/desk/internal/plan/plan_test.go
+++ b/desk/internal/plan/plan_test.go
@@ -341,7 +341,8 @@
 // A scheduler that refuses all at once looks idle: it must not draw the jobs.
 func TestOneThatRefusesAll(t *testing.T) {
 	p := newPlan(t, config())
-	if got := ends(p, start, 1000, p.order[0], Result{Status: 503, Advised: true, Advice: time.Second}); got > 200 {
+	refusal := Result{Status: 503, Advised: true, Advice: time.Second}
+	if got := ends(p, start, 1000, p.order[0], refusal); got > 200 {
 		t.Errorf("%d of 1,000 jobs went to it", got)
 	}
 	// And a retry goes elsewhere.
--- a/internal/rig/fleet.go
+++ b/internal/rig/fleet.go
@@ -13,7 +13,8 @@
 	"dahliaford/internal/standin"
 )
 
-// Fleet is several schedulers over regions. Each scheduler has region doors of its own, as callbacks go to whoever sent the job.
+// Fleet is several schedulers over regions. Each scheduler has region doors of its own, as
+// callbacks go to whoever sent the job.
 type Fleet struct {
 	sites []*site
 
@@ -37,8 +38,9 @@
 // StartFleet starts n schedulers with so many regions each, every one a rack of its own.
 // With faults the regions do wrong whatever the protocol allows; without, they run jobs.
 func StartFleet(bin, folder string, n, each int, seed uint64, faults bool) (f *Fleet, err error) {
-	f = &Fleet{job: map[string]job{}, ran: map[string]bool{}, posts: map[string]int{}, racks: map[string]string{},
-		mark: strconv.FormatUint(rand.Uint64(), 36) + "/"}
+	f = &Fleet{job: map[string]job{}, ran: map[string]bool{}, posts: map[string]int{},
+		racks: map[string]string{},
+		mark:  strconv.FormatUint(rand.Uint64(), 36) + "/"}
 	defer func() {
 		if err != nil {
 			f.Close()
--- a/internal/standin/plain.go
+++ b/internal/standin/plain.go
@@ -30,7 +30,8 @@
 func NewPlain(schedulers []string, backoff time.Duration, dialled func()) *Plain {
 	var dialer net.Dialer
 	return &Plain{schedulers: schedulers, backoff: backoff, http: http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: plainIdle, DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		MaxIdleConnsPerHost: plainIdle,
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			dialled()
 			return dialer.DialContext(ctx, network, addr)
 		}}}}
@@ -66,7 +67,8 @@
 
 func (p *Plain) try(ctx context.Context, s Submission, n int) (sent, served bool) {
 	addr := p.schedulers[rand.IntN(len(p.schedulers))]
-	r, err := http.NewRequestWithContext(ctx, "POST", "http://"+addr+"/"+s.Class+"/"+s.ID, bytes.NewReader(s.Body))
+	target := "http://" + addr + "/" + s.Class + "/" + s.ID
+	r, err := http.NewRequestWithContext(ctx, "POST", target, bytes.NewReader(s.Body))
 	if err != nil {
 		return false, false
 	}
