Say what may become of a stored item, and weigh the engines under a job store

Need: work that is pushed and picked up later must outlive the process: nothing accepted is lost, nothing finished comes back.

Change: internal/store/life, without I/O or clock: an item, the events it takes, which further attempt its class allows, and what recovery concludes from a record, the clock's jumps included. The drill engines measures bbolt and pebble, each in a process of its own.

--- a/cmd/dahlialab/drill.go
+++ b/cmd/dahlialab/drill.go
@@ -46,6 +46,8 @@
 		onProgram(15*time.Second, attempts)},
 	"desk": {"desks of the library beside plain ones, at real schedulers that go and come back",
 		onProgram(8*time.Second, desks)},
+	"engines": {"embedded stores under a job store: accepts on disk, opening after a kill, space, memory",
+		engines},
 	"planted": {"plants faults in the program, one build each, and lets the explorer find them",
 		planting},
 }
--- /dev/null
+++ b/internal/store/life/life.go
@@ -0,0 +1,228 @@
+// Package life says what may become of a stored item, and what recovery concludes from its
+// record. It has no I/O and no clock: events go in with their times, a changed item or a
+// conclusion comes out. Package store keeps the items on disk.
+//
+// Three things must be on disk before they are said or done, or a crash in between breaks a
+// promise: that an item was accepted, before its client hears so; that an attempt is routed,
+// before its first byte goes out; that a region called back with an end, before the region's
+// 204. And an answer, before anybody hears it.
+package life
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Micros is a time: microseconds since 1970, as the wall clock said.
+type Micros int64
+
+// Effect says what a class allows once an attempt may have run.
+type Effect uint8
+
+// The effects.
+const (
+	Once     Effect = iota // must never run twice
+	Rack                   // repeats are dropped within a rack, for the window
+	Anywhere               // repeats are dropped everywhere, for the window
+	Safe                   // may be repeated at will
+)
+
+// Outcome is how an attempt ended.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Open    Outcome = iota // it has not ended, as far as the record knows
+	Never                  // it did not run, and never will
+	MayHave                // it may have run, or may yet
+	Done                   // it ran, and its result is known
+)
+
+// Verdict is an item's final answer.
+type Verdict uint8
+
+// The verdicts.
+const (
+	None    Verdict = iota
+	Served          // with a result
+	Failed          // it may have run; nobody can say more
+	Expired         // its deadline passed, and it never ran
+)
+
+func (v Verdict) String() string { return [...]string{"none", "served", "failed", "expired"}[v] }
+
+// MostAttempts is how often an item may be routed in all.
+const MostAttempts = 4
+
+// Attempt is one routing of an item.
+type Attempt struct {
+	Region string  `json:"region"`
+	Rack   string  `json:"rack"`
+	At     Micros  `json:"at"`
+	Ended  Micros  `json:"ended,omitempty"`
+	What   Outcome `json:"outcome"`
+}
+
+// Item is a job from its acceptance until it is forgotten.
+type Item struct {
+	ID       string    `json:"id"`
+	Class    string    `json:"class"`
+	Tenant   string    `json:"tenant,omitempty"`
+	Object   string    `json:"object,omitempty"`
+	Key      string    `json:"key,omitempty"`
+	Body     []byte    `json:"body,omitempty"`
+	Effect   Effect    `json:"effect"`
+	Window   Micros    `json:"window,omitempty"` // for Rack and Anywhere: since an attempt first may have run
+	Accepted Micros    `json:"accepted"`
+	Deadline Micros    `json:"deadline"`
+	Attempts []Attempt `json:"attempts,omitempty"`
+	Verdict  Verdict   `json:"verdict,omitempty"`
+	Result   []byte    `json:"result,omitempty"`
+	Answered Micros    `json:"answered,omitempty"`
+	Keep     Micros    `json:"keep,omitempty"` // the answer may be read until then
+}
+
+// Kind is what happens to an item.
+type Kind uint8
+
+// The kinds of events. An item begins with its acceptance, which is no event.
+const (
+	Routed   Kind = iota // an attempt is about to go out: Region, Rack
+	Ended                // the last attempt ended: What, and Result with Done
+	Answered             // the final answer: Verdict, and Keep
+)
+
+// Event is something that happens to an item.
+type Event struct {
+	Kind    Kind
+	At      Micros
+	Region  string
+	Rack    string
+	What    Outcome
+	Result  []byte
+	Verdict Verdict
+	Keep    Micros
+}
+
+// The errors of events that cannot be.
+var (
+	ErrOver        = errors.New("the item has its answer")
+	ErrOutstanding = errors.New("an attempt is outstanding")
+	ErrNoAttempt   = errors.New("no attempt is outstanding")
+	ErrTooMany     = errors.New("no attempt is left")
+	ErrMayHaveRun  = errors.New("an attempt may have run, and the class allows no repeat there")
+	ErrLate        = errors.New("the deadline has passed")
+	ErrDishonest   = errors.New("the answer is not what the attempts prove")
+)
+
+// Apply takes an event. An item that it does not fit stays as it was.
+func (it *Item) Apply(e Event) error {
+	if it.Verdict != None {
+		return ErrOver
+	}
+	switch e.Kind {
+	case Routed:
+		if err := it.MayRoute(e.At, e.Rack); err != nil {
+			return err
+		}
+		it.Attempts = append(it.Attempts[:len(it.Attempts):len(it.Attempts)],
+			Attempt{Region: e.Region, Rack: e.Rack, At: e.At})
+	case Ended:
+		if !it.Outstanding() || e.What == Open {
+			return ErrNoAttempt
+		}
+		it.Attempts = append([]Attempt(nil), it.Attempts...)
+		last := &it.Attempts[len(it.Attempts)-1]
+		last.Ended, last.What = e.At, e.What
+		if e.What == Done {
+			it.Result = e.Result
+		}
+	case Answered:
+		if !it.fits(e.Verdict) {
+			return ErrDishonest
+		}
+		it.Verdict, it.Answered, it.Keep = e.Verdict, e.At, e.Keep
+	default:
+		return fmt.Errorf("unknown event %d", e.Kind)
+	}
+	return nil
+}
+
+// fits tells whether the attempts bear a verdict out.
+func (it *Item) fits(v Verdict) bool {
+	switch v {
+	case Served:
+		return len(it.Attempts) > 0 && it.Attempts[len(it.Attempts)-1].What == Done
+	case Expired:
+		_, ran := it.firstRan()
+		return !ran
+	case Failed:
+		return true
+	}
+	return false
+}
+
+// Outstanding tells whether an attempt is under way, as far as the record knows.
+func (it *Item) Outstanding() bool {
+	return len(it.Attempts) > 0 && it.Attempts[len(it.Attempts)-1].What == Open
+}
+
+// firstRan is the first attempt that may have run.
+func (it *Item) firstRan() (Attempt, bool) {
+	for _, a := range it.Attempts {
+		if a.What != Never {
+			return a, true
+		}
+	}
+	return Attempt{}, false
+}
+
+// MayRoute tells whether another attempt may go out at a time to a rack.
+func (it *Item) MayRoute(at Micros, rack string) error {
+	switch {
+	case it.Verdict != None:
+		return ErrOver
+	case it.Outstanding():
+		return ErrOutstanding
+	case len(it.Attempts) >= MostAttempts:
+		return ErrTooMany
+	case at >= it.Deadline:
+		return ErrLate
+	}
+	first, ran := it.firstRan()
+	if !ran {
+		return nil
+	}
+	within := at >= first.At && at < first.At+it.Window
+	switch {
+	case it.Effect == Safe, it.Effect == Anywhere && within, it.Effect == Rack && within && rack == first.Rack:
+		return nil
+	}
+	return ErrMayHaveRun
+}
+
+// Check tells what is wrong with a record that no run of this package can have made.
+func (it *Item) Check() error {
+	again := Item{ID: it.ID, Effect: it.Effect, Window: it.Window, Accepted: it.Accepted, Deadline: it.Deadline}
+	if it.ID == "" || it.Effect > Safe {
+		return errors.New("no id, or an unknown effect")
+	}
+	for i, a := range it.Attempts {
+		if err := again.Apply(Event{Kind: Routed, At: a.At, Region: a.Region, Rack: a.Rack}); err != nil {
+			return fmt.Errorf("attempt %d: %w", i+1, err)
+		}
+		if a.What == Open {
+			continue
+		}
+		if err := again.Apply(Event{Kind: Ended, At: a.Ended, What: a.What}); err != nil || a.What > Done {
+			return fmt.Errorf("attempt %d: its end does not fit", i+1)
+		}
+	}
+	if it.Verdict == None {
+		return nil
+	}
+	if err := again.Apply(Event{Kind: Answered, Verdict: it.Verdict}); err != nil {
+		return fmt.Errorf("answer %d: %w", it.Verdict, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/store/life/life_test.go
@@ -0,0 +1,167 @@
+package life
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+const second Micros = 1_000_000
+
+func fresh(e Effect) Item {
+	return Item{ID: "a", Class: "c", Effect: e, Window: 10 * second, Accepted: 0, Deadline: 100 * second}
+}
+
+func routed(at Micros, rack string) Event {
+	return Event{Kind: Routed, At: at, Region: "s-" + rack, Rack: rack}
+}
+
+func ended(what Outcome) Event { return Event{Kind: Ended, At: 2 * second, What: what} }
+
+// Where another attempt may go, by effect and by how the last one ended.
+func TestMayRoute(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		what Outcome
+		at   Micros
+		rack string
+		want [4]error // once, rack, anywhere, safe
+	}{
+		{"it never ran", Never, 5 * second, "b", [4]error{}},
+		{"it may have run, same rack", MayHave, 5 * second, "a", [4]error{ErrMayHaveRun, nil, nil, nil}},
+		{"it may have run, another rack", MayHave, 5 * second, "b", [4]error{ErrMayHaveRun, ErrMayHaveRun}},
+		{"past the window", MayHave, 11 * second, "a", [4]error{ErrMayHaveRun, ErrMayHaveRun, ErrMayHaveRun, nil}},
+		{"past the deadline", Never, 100 * second, "a", [4]error{ErrLate, ErrLate, ErrLate, ErrLate}},
+		{"outstanding", Open, 5 * second, "a", [4]error{ErrOutstanding, ErrOutstanding, ErrOutstanding,
+			ErrOutstanding}},
+	} {
+		for effect, want := range c.want {
+			it := fresh(Effect(effect))
+			if err := it.Apply(routed(second, "a")); err != nil {
+				t.Fatal(err)
+			}
+			if c.what != Open {
+				if err := it.Apply(ended(c.what)); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if got := it.MayRoute(c.at, c.rack); !errors.Is(got, want) {
+				t.Errorf("%s, effect %d: %v, want %v", c.name, effect, got, want)
+			}
+		}
+	}
+}
+
+// What recovery does, by what was on disk.
+func TestRecover(t *testing.T) {
+	open := []Event{routed(second, "a")}
+	ran := append(open, ended(MayHave))
+	done := append(open, Event{Kind: Ended, At: 2 * second, What: Done, Result: []byte("r")})
+	over := append(done, Event{Kind: Answered, At: 2 * second, Verdict: Served, Keep: 20 * second})
+	for _, c := range []struct {
+		name   string
+		effect Effect
+		events []Event
+		now    Now
+		step   Step
+		event  Event
+	}{
+		{"never sent", Once, nil, Now{At: 5 * second}, GoOn, Event{}},
+		{"never sent, too late", Once, nil, Now{At: 100 * second}, Apply,
+			Event{Kind: Answered, At: 100 * second, Verdict: Expired, Keep: 107 * second}},
+		{"on its way, regions may call", Once, open, Now{At: 5 * second}, Wait, Event{}},
+		{"on its way, too late, regions may call", Once, open, Now{At: 200 * second}, Wait, Event{}},
+		{"on its way, nobody called", Once, open, Now{At: 5 * second, Asked: true}, Apply,
+			Event{Kind: Ended, At: 5 * second, What: MayHave}},
+		{"may have run, once", Once, ran, Now{At: 5 * second, Asked: true}, Apply,
+			Event{Kind: Answered, At: 5 * second, Verdict: Failed, Keep: 12 * second}},
+		{"may have run, rack", Rack, ran, Now{At: 5 * second}, GoOn, Event{}},
+		{"may have run, rack, past the window", Rack, ran, Now{At: 15 * second}, Apply,
+			Event{Kind: Answered, At: 15 * second, Verdict: Failed, Keep: 22 * second}},
+		{"may have run, the clock went back", Anywhere, ran, Now{At: 5 * second, Back: true}, Apply,
+			Event{Kind: Answered, At: 5 * second, Verdict: Failed, Keep: 12 * second}},
+		{"may have run, safe, the clock went back", Safe, ran, Now{At: 5 * second, Back: true}, GoOn, Event{}},
+		{"done, not answered", Once, done, Now{At: 200 * second}, Apply,
+			Event{Kind: Answered, At: 200 * second, Verdict: Served, Keep: 207 * second}},
+		{"answered", Once, over, Now{At: 5 * second}, Held, Event{}},
+		{"answered long ago", Once, over, Now{At: 20 * second}, Forget, Event{}},
+	} {
+		it := fresh(c.effect)
+		for _, e := range c.events {
+			if err := it.Apply(e); err != nil {
+				t.Fatalf("%s: %v", c.name, err)
+			}
+		}
+		step, event := Recover(&it, c.now, 7*second)
+		if step != c.step || cmp.Diff(c.event, event) != "" {
+			t.Errorf("%s: %v, %+v", c.name, step, event)
+		}
+		if step == Apply {
+			if err := it.Apply(event); err != nil {
+				t.Errorf("%s: what recovery concludes does not fit: %v", c.name, err)
+			}
+		}
+	}
+}
+
+// The clock jumps by an hour while the store is closed.
+func TestClockJumps(t *testing.T) {
+	const hour = 3600 * second
+	for _, c := range []struct {
+		clock Micros
+		want  Now
+	}{{10 * second, Now{At: 10 * second}}, {hour, Now{At: hour}},
+		{9*second - hour, Now{At: 9 * second, Back: true}}} {
+		if diff := cmp.Diff(c.want, Since(c.clock, 9*second)); diff != "" {
+			t.Error(diff)
+		}
+	}
+}
+
+// Whatever events come in whatever order: the item keeps its promises, a record that Apply
+// made passes Check, recovery ends from any of them, and one that was tampered with is found.
+func TestProperties(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		it := fresh(Effect(rapid.IntRange(0, 3).Draw(t, "effect")))
+		now := Micros(0)
+		for range rapid.IntRange(0, 14).Draw(t, "events") {
+			now += Micros(rapid.IntRange(0, 5_000_000).Draw(t, "time"))
+			e := Event{Kind: Kind(rapid.IntRange(0, 2).Draw(t, "kind")), At: now,
+				Rack: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "rack"),
+				What: Outcome(rapid.IntRange(0, 3).Draw(t, "what")), Verdict: Verdict(rapid.IntRange(0, 3).Draw(t, "v"))}
+			before := it
+			before.Attempts = append([]Attempt(nil), it.Attempts...)
+			if err := it.Apply(e); err != nil {
+				if diff := cmp.Diff(before, it); diff != "" {
+					t.Fatalf("refused, %v, and yet changed: %s", err, diff)
+				}
+			}
+			if err := it.Check(); err != nil {
+				t.Fatalf("%+v: %v", it, err)
+			}
+		}
+		ran := 0
+		for _, a := range it.Attempts {
+			if a.What != Never {
+				ran++
+			}
+		}
+		if it.Effect == Once && ran > 1 || len(it.Attempts) > MostAttempts {
+			t.Fatalf("%+v", it)
+		}
+		for n := 0; it.Verdict == None; n++ {
+			step, e := Recover(&it, Now{At: now + 1000*second, Asked: true}, second)
+			if n > 3 || step != Apply || it.Apply(e) != nil {
+				t.Fatalf("recovery does not end: %d, %+v", step, it)
+			}
+		}
+		if len(it.Attempts) > 0 && it.Effect == Once && it.Attempts[0].What != Never {
+			it.Attempts = append(it.Attempts, Attempt{Region: "x", At: now})
+			if it.Check() == nil {
+				t.Fatal("a second attempt at what may have run passes")
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/store/life/world_test.go
@@ -0,0 +1,262 @@
+package life
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+
+	"dahliaford/internal/explore"
+)
+
+// world is one item, a store that loses what was not synced, a process that is killed at any
+// point and recovers, and two regions in two racks. What the process does follows Apply and
+// Recover; what it must wait for is what the package's comment says.
+type world struct {
+	Effect  Effect
+	Now     Micros
+	Mem     *Item   // what the process holds; nil: nothing, or it is dead
+	Disk    *Item   // what a crash leaves
+	Unsaved []*Item // written and not synced, in order: a crash loses any number of the last ones
+	Told    bool    // the client has heard that the item is accepted
+	Heard   Verdict // and its answer
+	Acked   bool    // a region has had its 204 for the result
+	Begun   bool
+	Dead    bool
+	Asked   bool // recovery has waited for callbacks
+	Back    bool // the clock is behind what the store had seen
+	Sent    bool // the present attempt has gone out
+	Regions [2]regionState
+	Crashes int
+	Runs    int
+	RanIn   [2]bool
+	Wrong   string
+	// Early leaves out one of the waits: a planted fault.
+	Early string
+}
+
+type regionState struct {
+	Holds bool // a job that has not run
+	Calls bool // it ran, and calls back until it is answered
+}
+
+const mostTries = 2
+
+const worldKeep = 50 * second
+
+func (w *world) clone() *world {
+	raw, err := json.Marshal(w)
+	if err != nil {
+		panic(err)
+	}
+	c := &world{}
+	if err := json.Unmarshal(raw, c); err != nil {
+		panic(err)
+	}
+	return c
+}
+
+// saved tells whether what the process holds is on disk.
+func (w *world) saved() bool { return len(w.Unsaved) == 0 }
+
+// note takes an event in the process, which writes it.
+func (w *world) note(e Event) {
+	if err := w.Mem.Apply(e); err != nil {
+		w.Wrong = fmt.Sprintf("event %d at %d: %v", e.Kind, e.At, err)
+		return
+	}
+	it := *w.Mem
+	w.Unsaved = append(w.Unsaved, &it)
+}
+
+type act struct {
+	name string
+	do   func(*world)
+}
+
+func (w *world) acts() (all []act) {
+	add := func(name string, do func(*world)) { all = append(all, act{name, do}) }
+	if w.Crashes > 0 && !w.Dead && w.Begun {
+		for n := range len(w.Unsaved) + 1 {
+			add(fmt.Sprint("killed, ", n, " writes survive"), func(w *world) {
+				for _, it := range w.Unsaved[:n] {
+					w.Disk = it
+				}
+				w.Crashes--
+				w.Dead, w.Mem, w.Unsaved, w.Sent, w.Asked = true, nil, nil, false, false
+			})
+		}
+	}
+	for i, r := range w.Regions {
+		if r.Holds {
+			add(fmt.Sprint("region ", i, " runs it"), func(w *world) {
+				if !(w.Effect == Anywhere && w.Runs > 0 || w.Effect == Rack && w.RanIn[i]) {
+					w.Runs++
+				}
+				w.RanIn[i] = true
+				w.Regions[i] = regionState{Calls: true}
+			})
+		}
+		if r.Calls && !w.Dead && w.Mem != nil && w.Mem.Outstanding() {
+			add(fmt.Sprint("region ", i, " calls back"), func(w *world) {
+				w.note(Event{Kind: Ended, At: w.Now, What: Done})
+				if w.Early == "204" {
+					w.Regions[i].Calls, w.Acked = false, true // before its record is on disk
+				}
+			})
+		}
+		if r.Calls && !w.Dead && w.Mem != nil && !w.Mem.Outstanding() && w.saved() {
+			add(fmt.Sprint("region ", i, " gets its 204"), func(w *world) {
+				w.Regions[i].Calls = false
+				// One that comes after all was concluded is told so, and proves nothing more.
+				n := len(w.Mem.Attempts)
+				w.Acked = w.Acked || n > 0 && w.Mem.Attempts[n-1].What == Done
+			})
+		}
+	}
+	switch {
+	case !w.Begun:
+		add("a client hands in", func(w *world) {
+			w.Begun = true
+			it := fresh(w.Effect)
+			w.Mem = &it
+			copied := it
+			w.Unsaved = append(w.Unsaved, &copied)
+			if w.Early == "accept" {
+				w.Told = true
+			}
+		})
+		return all
+	case w.Dead:
+		for _, back := range []bool{false, true} {
+			add(fmt.Sprint("starts again, the clock went back: ", back), func(w *world) {
+				w.Dead, w.Back = false, back
+				if w.Disk != nil {
+					it := *w.Disk
+					w.Mem, w.Sent = &it, it.Outstanding() // it may have gone out before
+				}
+			})
+		}
+		return all
+	}
+	if len(w.Unsaved) > 0 {
+		add("a sync", func(w *world) {
+			w.Disk, w.Unsaved = w.Unsaved[len(w.Unsaved)-1], nil
+			w.Told = true
+		})
+	}
+	if w.Mem == nil {
+		return all
+	}
+	if !w.Asked {
+		add("regions have had their while", func(w *world) { w.Asked = true })
+	}
+	step, event := Recover(w.Mem, Now{At: w.Now, Back: w.Back, Asked: w.Asked}, worldKeep)
+	switch {
+	case step == Apply && w.saved():
+		add("it is concluded", func(w *world) { w.note(event) })
+	case step == GoOn && w.saved() && len(w.Mem.Attempts) < mostTries: // fewer than allowed: fewer states
+		for i, rack := range []string{"a", "b"} {
+			if w.Mem.MayRoute(w.Now, rack) == nil {
+				add("it is routed to "+rack, func(w *world) {
+					w.note(Event{Kind: Routed, At: w.Now, Region: rack, Rack: rack})
+					if w.Early == "route" {
+						w.Sent = true
+						w.Regions[i].Holds = true
+					}
+				})
+			}
+		}
+	}
+	if w.Mem.Outstanding() && !w.Sent && w.saved() && !w.Asked {
+		i := 0
+		if w.Mem.Attempts[len(w.Mem.Attempts)-1].Rack == "b" {
+			i = 1
+		}
+		add("it goes out", func(w *world) {
+			w.Sent = true
+			w.Regions[i].Holds = true
+		})
+	}
+	if w.Mem.Verdict != None && (w.saved() || w.Early == "answer") && w.Heard == None {
+		add("its client hears the answer", func(w *world) { w.Heard = w.Mem.Verdict })
+	}
+	if w.Now < 4*second {
+		add("time passes", func(w *world) { w.Now += 4 * second })
+	}
+	return all
+}
+
+// Steps implements explore.Model.
+func (w *world) Steps() (names []string) {
+	for _, a := range w.acts() {
+		names = append(names, a.name)
+	}
+	return names
+}
+
+// Step implements explore.Model.
+func (w *world) Step(i int) *world {
+	a := w.acts()[i]
+	w = w.clone()
+	a.do(w)
+	return w
+}
+
+// AppendState implements explore.Model.
+func (w *world) AppendState(b []byte) []byte {
+	raw, err := json.Marshal(w)
+	if err != nil {
+		panic(err)
+	}
+	return append(b, raw...)
+}
+
+// Check implements explore.Model.
+func (w *world) Check() error {
+	switch {
+	case w.Wrong != "":
+		return fmt.Errorf("%s", w.Wrong)
+	case w.Runs > 1 && w.Effect != Safe:
+		return fmt.Errorf("it ran %d times", w.Runs)
+	case w.Told && w.Disk == nil:
+		return fmt.Errorf("an accepted item is lost")
+	case w.Heard != None && w.Disk != nil && w.Mem != nil && w.Mem.Verdict != w.Heard:
+		return fmt.Errorf("heard %v, and now it is %v", w.Heard, w.Mem.Verdict)
+	case w.Acked && w.Heard == Failed:
+		return fmt.Errorf("a result that a region got its 204 for is lost")
+	case w.Heard == Expired && w.Runs > 0:
+		return fmt.Errorf("it expired, and ran")
+	}
+	if w.Disk != nil {
+		return w.Disk.Check()
+	}
+	return nil
+}
+
+// Every order of events, with crashes at any point, one during recovery and one more: an
+// accepted item is never lost, none runs twice that must not, no answer changes.
+func TestCrashesInEveryOrder(t *testing.T) {
+	for effect := Once; effect <= Safe; effect++ {
+		crashes := 3
+		if effect >= Anywhere || testing.Short() {
+			crashes = 1 // repeats multiply the states
+		}
+		tour := explore.Exhaust(&world{Effect: effect, Crashes: crashes}, 300_000)
+		if tour.Broken != nil || !tour.Exhausted || tour.States < 1000 {
+			t.Errorf("effect %d: %v, %v, by %q", effect, tour, tour.Broken, tour.Path)
+		}
+		t.Logf("effect %d: %v", effect, tour)
+	}
+}
+
+// Each of the waits is needed: without any one of them a promise breaks.
+func TestWhatMustBeOnDisk(t *testing.T) {
+	for _, early := range []string{"accept", "route", "204", "answer"} {
+		tour := explore.Exhaust(&world{Effect: Once, Crashes: 2, Early: early}, 1_000_000)
+		if tour.Broken == nil {
+			t.Errorf("nothing breaks without the wait before %s: %v", early, tour)
+			continue
+		}
+		t.Logf("%s: %v, by %q", early, tour.Broken, tour.Path)
+	}
+}
