Keep items on disk with many changes to a sync, and tell what cannot be trusted

Need: the disk under the job store's state machine.

Change: internal/store on bbolt. One writer carries what has come during a commit with the next; nobody waits for the disk to hand in. A quota refuses new items before the disk is full, a queue those that a slow disk cannot take; ends of known items still fit. After a failed commit nothing more is taken. Records carry a checksum over key and value, their number is kept, version 1 is brought up to 2, a second process gets one line, backups are made while items come.

Measured by tests: the disk fails at each commit of a run; 200 crashes within a commit, with any of its writes missing, cut or zeros, leave the old state or the new one; 600 flipped bits are told or harmless. That last test found that the engine goes back a commit without a word when its newest meta page is broken, and that a broken page ends the process at opening if the list of free pages is not kept in the file; both are dealt with.

--- /dev/null
+++ b/internal/store/bolt.go
@@ -0,0 +1,284 @@
+package store
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+	"hash/fnv"
+	"io"
+	"os"
+	"runtime/debug"
+	"time"
+
+	"go.etcd.io/bbolt"
+
+	"dahliaford/internal/store/life"
+)
+
+// version is the format's. 1 had neither checksums nor a number of records.
+const version = 2
+
+var (
+	itemsBucket = []byte("items") // by id: checksum, and the item in JSON
+	metaBucket  = []byte("meta")
+	versionKey  = []byte("version")
+	seenKey     = []byte("seen")  // the latest time, in microseconds
+	countKey    = []byte("count") // of items: a record that is missing shows by it
+
+	castagnoli = crc32.MakeTable(crc32.Castagnoli)
+)
+
+// lockWithin is the longest that an opening waits for another process to let go.
+const lockWithin = 200 * time.Millisecond
+
+type bolt struct {
+	db *bbolt.DB
+	// behind says that the newest of the two pages that tell which state holds may be the
+	// broken one: the engine then goes back by a commit without a word.
+	behind error
+}
+
+var errBroken = errors.New("the record is broken: its checksum does not fit")
+
+func openBolt(path string, readOnly bool) (*bolt, error) {
+	// The list of free pages is kept in the file: without it, opening walks all pages in a
+	// goroutine of the engine's own, where a broken one ends the process.
+	var db *bbolt.DB
+	err := guard(func() (err error) {
+		db, err = bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockWithin, ReadOnly: readOnly,
+			FreelistType: bbolt.FreelistMapType})
+		return err
+	})
+	if errors.Is(err, bbolt.ErrTimeout) {
+		return nil, errors.New("another process has it open")
+	}
+	if err != nil {
+		return nil, err
+	}
+	b := &bolt{db: db, behind: checkMetas(path, db.Info().PageSize)}
+	if err = b.view(known); err != nil && !readOnly { // nothing is written to one that is in order
+		err = guard(func() error { return db.Update(prepare) })
+	}
+	if err != nil {
+		return nil, errors.Join(err, db.Close())
+	}
+	return b, nil
+}
+
+// checkMetas tells whether one of the file's two meta pages is broken. A crash does not break
+// one: it lies within a sector, which is written whole or not at all.
+func checkMetas(path string, pageSize int) error {
+	const (
+		head   = 16 // of a page
+		summed = 56 // bytes of the meta before its checksum, which is FNV-1a
+	)
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	for i := range 2 {
+		var meta [summed + 8]byte
+		if _, err := f.ReadAt(meta[:], int64(i*pageSize+head)); err != nil {
+			return err
+		}
+		h := fnv.New64a()
+		h.Write(meta[:summed])
+		if h.Sum64() != binary.NativeEndian.Uint64(meta[summed:]) {
+			return fmt.Errorf("meta page %d is broken: the last commit may be missing", i)
+		}
+	}
+	return nil
+}
+
+// guard turns the engine's panic over a broken page, and the fault of reading past the file's
+// end, into an error.
+func guard(do func() error) (err error) {
+	defer debug.SetPanicOnFault(debug.SetPanicOnFault(true))
+	defer func() {
+		if broke := recover(); broke != nil {
+			err = fmt.Errorf("the file is broken: %v", broke)
+		}
+	}()
+	return do()
+}
+
+func (b *bolt) view(do func(*bbolt.Tx) error) error {
+	return guard(func() error { return b.db.View(do) })
+}
+
+func number(b []byte) uint64 {
+	if len(b) != 8 {
+		return 0
+	}
+	return binary.BigEndian.Uint64(b)
+}
+
+func bytesOf(n uint64) []byte { return binary.BigEndian.AppendUint64(nil, n) }
+
+func known(tx *bbolt.Tx) error {
+	meta := tx.Bucket(metaBucket)
+	if meta == nil || tx.Bucket(itemsBucket) == nil {
+		return errors.New("this is no job store")
+	}
+	if v := number(meta.Get(versionKey)); v != version {
+		return fmt.Errorf("format version %d, this program knows %d", v, version)
+	}
+	return nil
+}
+
+// prepare makes what a new store needs, and brings an older format up to this one.
+func prepare(tx *bbolt.Tx) error {
+	items, err := tx.CreateBucketIfNotExists(itemsBucket)
+	if err != nil {
+		return err
+	}
+	meta, err := tx.CreateBucketIfNotExists(metaBucket)
+	if err != nil {
+		return err
+	}
+	switch v := meta.Get(versionKey); {
+	case v == nil:
+		return errors.Join(meta.Put(versionKey, bytesOf(version)), meta.Put(countKey, bytesOf(0)))
+	case number(v) == 1:
+		return migrate(items, meta)
+	}
+	return known(tx)
+}
+
+// migrate seals the records of version 1, and counts them. A crash in it leaves version 1.
+func migrate(items, meta *bbolt.Bucket) error {
+	old := map[string][]byte{}
+	if err := items.ForEach(func(k, v []byte) error {
+		var it life.Item
+		if err := json.Unmarshal(v, &it); err != nil {
+			return fmt.Errorf("item %q of version 1: %w", k, err)
+		}
+		old[string(k)] = append([]byte(nil), v...)
+		return nil
+	}); err != nil {
+		return err
+	}
+	for k, v := range old {
+		if err := items.Put([]byte(k), seal([]byte(k), v)); err != nil {
+			return err
+		}
+	}
+	return errors.Join(meta.Put(versionKey, bytesOf(version)), meta.Put(countKey, bytesOf(uint64(len(old)))))
+}
+
+func sum(key, payload []byte) uint32 {
+	return crc32.Update(crc32.Checksum(key, castagnoli), castagnoli, payload)
+}
+
+// seal puts a record's checksum before it. It covers the key: a record under another's key is
+// as broken as a flipped bit.
+func seal(key, payload []byte) []byte {
+	return append(binary.BigEndian.AppendUint32(nil, sum(key, payload)), payload...)
+}
+
+func unseal(key, record []byte) (*life.Item, error) {
+	if len(record) < 4 || binary.BigEndian.Uint32(record) != sum(key, record[4:]) {
+		return nil, errBroken
+	}
+	it := &life.Item{}
+	if err := json.Unmarshal(record[4:], it); err != nil || it.ID != string(key) {
+		return nil, errBroken
+	}
+	return it, nil
+}
+
+func (b *bolt) commit(seen life.Micros, batch []Change) error {
+	return guard(func() error { return b.update(seen, batch) })
+}
+
+func (b *bolt) update(seen life.Micros, batch []Change) error {
+	return b.db.Update(func(tx *bbolt.Tx) error {
+		items, meta := tx.Bucket(itemsBucket), tx.Bucket(metaBucket)
+		count := number(meta.Get(countKey))
+		for _, c := range batch {
+			key := []byte(c.Item.ID)
+			held := items.Get(key) != nil
+			if c.Forget {
+				if held {
+					count--
+				}
+				if err := items.Delete(key); err != nil {
+					return err
+				}
+				continue
+			}
+			if !held {
+				count++
+			}
+			payload, err := json.Marshal(c.Item)
+			if err != nil {
+				return err
+			}
+			if err := items.Put(key, seal(key, payload)); err != nil {
+				return err
+			}
+		}
+		if err := meta.Put(countKey, bytesOf(count)); err != nil {
+			return err
+		}
+		if old := number(meta.Get(seenKey)); uint64(seen) > old {
+			return meta.Put(seenKey, bytesOf(uint64(seen)))
+		}
+		return nil
+	})
+}
+
+// each reads all records. One that is broken comes without an item; so does each that the
+// count says is missing.
+func (b *bolt) each(do func(id string, it *life.Item, broken error) error) error {
+	return b.view(func(tx *bbolt.Tx) error {
+		n := uint64(0)
+		if b.behind != nil {
+			if err := do("", nil, b.behind); err != nil {
+				return err
+			}
+		}
+		if err := tx.Bucket(itemsBucket).ForEach(func(k, v []byte) error {
+			n++
+			it, err := unseal(k, v)
+			return do(string(k), it, err)
+		}); err != nil {
+			return err
+		}
+		if want := number(tx.Bucket(metaBucket).Get(countKey)); want != n {
+			return do("", nil, fmt.Errorf("%d records, and %d are counted", n, want))
+		}
+		return nil
+	})
+}
+
+func (b *bolt) seen() (at life.Micros, err error) {
+	err = b.view(func(tx *bbolt.Tx) error {
+		at = life.Micros(number(tx.Bucket(metaBucket).Get(seenKey)))
+		return nil
+	})
+	return at, err
+}
+
+// size tells how many items there are, and how many bytes of the file are in use: what is
+// free in it is used again before it grows.
+func (b *bolt) size() (items int, bytes int64, err error) {
+	err = b.view(func(tx *bbolt.Tx) error {
+		items = int(number(tx.Bucket(metaBucket).Get(countKey)))
+		bytes = tx.Size()
+		return nil
+	})
+	return items, bytes - int64(b.db.Stats().FreeAlloc), err
+}
+
+func (b *bolt) writeTo(w io.Writer) error {
+	return b.view(func(tx *bbolt.Tx) error {
+		_, err := tx.WriteTo(w)
+		return err
+	})
+}
+
+func (b *bolt) close() error { return b.db.Close() }
--- /dev/null
+++ b/internal/store/store.go
@@ -0,0 +1,257 @@
+// Package store keeps items on disk, on bbolt, with many changes to a sync. What an item may
+// become is for package life to say; this one only promises that what it has confirmed is
+// there after a crash, whole or told as broken.
+package store
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"dahliaford/internal/store/life"
+)
+
+// Config says how a store is kept.
+type Config struct {
+	Path      string // of its file
+	MostItems int    // open and answered ones together; 0: a million
+	MostBytes int64  // of the file; 0: 1 GiB
+}
+
+const (
+	defaultItems = 1_000_000
+	defaultBytes = 1 << 30
+	mostQueue    = 4096 // changes that wait for the disk
+	mostBatch    = 1024 // changes in a commit
+	// slack is the part of the quota that only changes to known items may use: what was
+	// accepted must be able to end.
+	slack = 8 // one in so many
+)
+
+// Change is an item's new state, or its end: the item is forgotten.
+type Change struct {
+	Item   *life.Item
+	Forget bool
+	// Done is told once, from the writer's goroutine, in the order of the changes: nil when
+	// the change is on disk. It must not block.
+	Done func(error)
+
+	fresh bool
+}
+
+// The errors that a change ends with.
+var (
+	// ErrFull: the quota is used up. Nothing new is accepted until items are forgotten.
+	ErrFull = errors.New("the store is full")
+	// ErrBusy: the disk does not keep up; changes wait already.
+	ErrBusy = errors.New("the disk does not keep up")
+	// ErrClosed: the store is closed.
+	ErrClosed = errors.New("the store is closed")
+)
+
+// Failure ends all changes after one that the disk did not take: after a failed sync nobody
+// knows what of the unsynced is there. The store takes nothing more until it is opened anew.
+type Failure struct{ Cause error }
+
+func (e *Failure) Error() string {
+	return "the disk failed, nothing more is stored: " + e.Cause.Error()
+}
+
+// Unwrap returns the cause.
+func (e *Failure) Unwrap() error { return e.Cause }
+
+// disk is what a store needs of its engine. A commit is on disk, whole, when it returns nil.
+type disk interface {
+	commit(seen life.Micros, batch []Change) error
+	each(func(id string, it *life.Item, broken error) error) error
+	seen() (life.Micros, error)
+	size() (items int, bytes int64, err error)
+	writeTo(w io.Writer) error
+	close() error
+}
+
+// Store is an open store. It is safe for many goroutines.
+type Store struct {
+	cfg   Config
+	disk  disk
+	queue chan Change
+	ended sync.WaitGroup
+
+	mu     sync.Mutex
+	closed bool
+	failed error
+	items  int // on disk
+	fresh  int // accepted, and on their way there
+	bytes  int64
+}
+
+// Open opens a store, or makes one. Another process that has it open, a version that this
+// program does not know, and a file that is none are one clear line each.
+func Open(cfg Config) (*Store, error) {
+	if cfg.MostItems == 0 {
+		cfg.MostItems = defaultItems
+	}
+	if cfg.MostBytes == 0 {
+		cfg.MostBytes = defaultBytes
+	}
+	if cfg.MostItems < 0 || cfg.MostBytes < 0 {
+		return nil, errors.New("store: a quota must not be negative")
+	}
+	d, err := openBolt(cfg.Path, false)
+	if err != nil {
+		return nil, fmt.Errorf("store %s: %w", cfg.Path, err)
+	}
+	return start(cfg, d)
+}
+
+func start(cfg Config, d disk) (*Store, error) {
+	s := &Store{cfg: cfg, disk: d, queue: make(chan Change, mostQueue)}
+	var err error
+	if s.items, s.bytes, err = d.size(); err != nil {
+		return nil, errors.Join(err, d.close())
+	}
+	s.ended.Go(s.write)
+	return s, nil
+}
+
+// Recovered is what a store held when it was opened.
+type Recovered struct {
+	Items  []*life.Item
+	Broken []error // a line for each record that cannot be trusted; none of them is in Items
+	Now    life.Now
+}
+
+// Recover reads all items. The clock is what it shows now.
+func (s *Store) Recover(clock life.Micros) (*Recovered, error) {
+	seen, err := s.disk.seen()
+	if err != nil {
+		return nil, err
+	}
+	r := &Recovered{Now: life.Since(clock, seen)}
+	err = s.disk.each(func(id string, it *life.Item, broken error) error {
+		if broken == nil {
+			broken = it.Check()
+		}
+		if broken != nil {
+			r.Broken = append(r.Broken, fmt.Errorf("item %q: %w", id, broken))
+		} else {
+			r.Items = append(r.Items, it)
+		}
+		return nil
+	})
+	return r, err
+}
+
+// Accept stores a new item. When the store is full or the disk does not keep up, that is the
+// error, and Done is not called.
+func (s *Store) Accept(c Change) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	spare := s.cfg.MostBytes / slack
+	if s.items+s.fresh >= s.cfg.MostItems || s.bytes+int64(len(c.Item.Body)) > s.cfg.MostBytes-spare {
+		return ErrFull
+	}
+	// Room in the queue is kept for the ends of what was accepted.
+	if len(s.queue) > mostQueue/2 {
+		return ErrBusy
+	}
+	c.fresh = true
+	err := s.put(c)
+	if err == nil {
+		s.fresh++
+	}
+	return err
+}
+
+// Update stores what has become of an item, or forgets it.
+func (s *Store) Update(c Change) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.put(c)
+}
+
+// put queues a change. It never waits for the disk.
+func (s *Store) put(c Change) error {
+	switch {
+	case s.failed != nil:
+		return s.failed
+	case s.closed:
+		return ErrClosed
+	}
+	select {
+	case s.queue <- c:
+		return nil
+	default:
+		return ErrBusy
+	}
+}
+
+// write carries changes to the disk, all that have come during one commit with the next.
+func (s *Store) write() {
+	for first := range s.queue {
+		batch := append(make([]Change, 0, mostBatch), first)
+		for more := true; more && len(batch) < mostBatch; {
+			select {
+			case c, open := <-s.queue:
+				if more = open; open {
+					batch = append(batch, c)
+				}
+			default:
+				more = false
+			}
+		}
+		err := s.commit(batch)
+		for _, c := range batch {
+			c.Done(err)
+		}
+	}
+}
+
+func (s *Store) commit(batch []Change) error {
+	s.mu.Lock()
+	failed := s.failed
+	s.mu.Unlock()
+	if failed != nil {
+		return failed
+	}
+	err := s.disk.commit(life.Micros(time.Now().UnixMicro()), batch)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err != nil {
+		s.failed = &Failure{err}
+		return s.failed
+	}
+	for _, c := range batch {
+		if c.fresh {
+			s.fresh--
+		}
+	}
+	s.items, s.bytes, err = s.disk.size()
+	return err
+}
+
+// Failed tells why the store takes nothing more; nil: it does.
+func (s *Store) Failed() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.failed
+}
+
+// Backup writes a whole copy, as of one moment, while the store goes on.
+func (s *Store) Backup(w io.Writer) error { return s.disk.writeTo(w) }
+
+// Close writes what waits, and closes the store.
+func (s *Store) Close() error {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return nil
+	}
+	s.closed = true
+	close(s.queue)
+	s.mu.Unlock()
+	s.ended.Wait()
+	return s.disk.close()
+}
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,454 @@
+package store
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"go.etcd.io/bbolt"
+
+	"dahliaford/internal/store/life"
+)
+
+func item(n int) *life.Item {
+	return &life.Item{ID: fmt.Sprintf("item-%04d", n), Class: "post-reading", Body: []byte(fmt.Sprint("body ", n)),
+		Accepted: life.Micros(n), Deadline: 1 << 50}
+}
+
+func open(t testing.TB, cfg Config) *Store {
+	t.Helper()
+	s, err := Open(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Close() })
+	return s
+}
+
+// accept stores an item and waits until it is on disk.
+func accept(s *Store, it *life.Item) error {
+	done := make(chan error, 1)
+	if err := s.Accept(Change{Item: it, Done: func(err error) { done <- err }}); err != nil {
+		return err
+	}
+	return <-done
+}
+
+func update(s *Store, c Change) error {
+	done := make(chan error, 1)
+	c.Done = func(err error) { done <- err }
+	if err := s.Update(c); err != nil {
+		return err
+	}
+	return <-done
+}
+
+func held(t testing.TB, s *Store) map[string]*life.Item {
+	t.Helper()
+	r, err := s.Recover(1)
+	if err != nil || len(r.Broken) > 0 {
+		t.Fatalf("%v, broken %v", err, r.Broken)
+	}
+	all := map[string]*life.Item{}
+	for _, it := range r.Items {
+		all[it.ID] = it
+	}
+	return all
+}
+
+// What was confirmed is there after the store is opened again; a second process gets one
+// line; a clock that went back is told.
+func TestReopen(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "jobs")
+	s := open(t, Config{Path: path})
+	want := map[string]*life.Item{}
+	for n := range 20 {
+		it := item(n)
+		if err := accept(s, it); err != nil {
+			t.Fatal(err)
+		}
+		want[it.ID] = it
+	}
+	changed := *want["item-0003"]
+	if err := changed.Apply(life.Event{Kind: life.Routed, At: 5, Region: "s-1", Rack: "a"}); err != nil {
+		t.Fatal(err)
+	}
+	if err := errors.Join(update(s, Change{Item: &changed}),
+		update(s, Change{Item: want["item-0004"], Forget: true})); err != nil {
+		t.Fatal(err)
+	}
+	want["item-0003"] = &changed
+	delete(want, "item-0004")
+	if _, err := Open(Config{Path: path}); err == nil || !strings.HasSuffix(err.Error(), "another process has it open") {
+		t.Errorf("%v", err)
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := accept(s, item(99)); !errors.Is(err, ErrClosed) {
+		t.Errorf("%v after the close", err)
+	}
+	s = open(t, Config{Path: path})
+	if diff := cmp.Diff(want, held(t, s)); diff != "" {
+		t.Error(diff)
+	}
+	hourAgo := life.Micros(time.Now().Add(-time.Hour).UnixMicro())
+	if r, err := s.Recover(hourAgo); err != nil || !r.Now.Back || r.Now.At <= hourAgo {
+		t.Errorf("%+v, %v", r.Now, err)
+	}
+}
+
+// counting is a disk that counts commits, takes its time, and fails from one on.
+type counting struct {
+	disk
+	sync.Mutex
+	commits, failAt int
+	hold            chan bool // a commit waits for a word; nil: none does
+}
+
+var errIO = errors.New("input/output error")
+
+func (c *counting) commit(seen life.Micros, batch []Change) error {
+	if c.hold != nil {
+		<-c.hold
+	}
+	c.Lock()
+	c.commits++
+	n := c.commits
+	c.Unlock()
+	if c.failAt > 0 && n >= c.failAt {
+		return errIO
+	}
+	return c.disk.commit(seen, batch)
+}
+
+func over(t *testing.T, c *counting, cfg Config) *Store {
+	t.Helper()
+	d, err := openBolt(cfg.Path, false)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.disk = d
+	if cfg.MostItems == 0 {
+		cfg.MostItems, cfg.MostBytes = defaultItems, defaultBytes
+	}
+	s, err := start(cfg, c)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { s.Close() })
+	return s
+}
+
+// What comes during one commit shares the next; nobody waits for the disk to hand in.
+func TestGroupCommit(t *testing.T) {
+	c := &counting{hold: make(chan bool)}
+	s := over(t, c, Config{Path: filepath.Join(t.TempDir(), "jobs")})
+	var done sync.WaitGroup
+	for n := range 500 {
+		done.Add(1)
+		if err := s.Accept(Change{Item: item(n), Done: func(err error) {
+			if err != nil {
+				t.Error(err)
+			}
+			done.Done()
+		}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	close(c.hold)
+	done.Wait()
+	if c.commits > 3 || len(held(t, s)) != 500 {
+		t.Errorf("%d commits for 500 items that came during the first", c.commits)
+	}
+}
+
+// A disk that does not keep up: new items are refused, the ends of old ones still fit.
+func TestSlowDisk(t *testing.T) {
+	c := &counting{hold: make(chan bool)}
+	s := over(t, c, Config{Path: filepath.Join(t.TempDir(), "jobs")})
+	taken := 0
+	for ; ; taken++ {
+		if err := s.Accept(Change{Item: item(taken), Done: func(error) {}}); errors.Is(err, ErrBusy) {
+			break
+		} else if err != nil || taken > mostQueue {
+			t.Fatalf("%v after %d", err, taken)
+		}
+	}
+	if err := s.Update(Change{Item: item(0), Forget: true, Done: func(error) {}}); err != nil {
+		t.Errorf("the end of an item is refused: %v", err)
+	}
+	close(c.hold)
+}
+
+// The disk fails at any commit: that one and all later ones end with the failure, and what was
+// confirmed before is there when the store is opened again.
+func TestDiskFails(t *testing.T) {
+	for failAt := 1; failAt <= 6; failAt++ {
+		path := filepath.Join(t.TempDir(), "jobs")
+		s := over(t, &counting{failAt: failAt}, Config{Path: path})
+		want := map[string]*life.Item{}
+		for n := range 8 {
+			it := item(n)
+			err := accept(s, it)
+			var failure *Failure
+			switch {
+			case err == nil && n+1 < failAt:
+				want[it.ID] = it
+			case !errors.As(err, &failure) || !errors.Is(err, errIO) || n+1 < failAt:
+				t.Errorf("commit %d fails, item %d: %v", failAt, n, err)
+			}
+		}
+		if s.Failed() == nil {
+			t.Error("the store does not say that it failed")
+		}
+		if err := s.Close(); err != nil {
+			t.Fatal(err)
+		}
+		if diff := cmp.Diff(want, held(t, open(t, Config{Path: path}))); diff != "" {
+			t.Errorf("commit %d fails: %s", failAt, diff)
+		}
+	}
+}
+
+// The quota refuses new items and not what becomes of known ones; forgetting makes room.
+func TestQuota(t *testing.T) {
+	s := open(t, Config{Path: filepath.Join(t.TempDir(), "jobs"), MostItems: 3})
+	for n := range 3 {
+		if err := accept(s, item(n)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := accept(s, item(3)); !errors.Is(err, ErrFull) {
+		t.Errorf("a fourth item: %v", err)
+	}
+	if err := errors.Join(update(s, Change{Item: item(1)}), update(s, Change{Item: item(0), Forget: true}),
+		accept(s, item(3))); err != nil {
+		t.Error(err)
+	}
+	small := open(t, Config{Path: filepath.Join(t.TempDir(), "jobs"), MostBytes: 256 << 10})
+	for n := 0; ; n++ {
+		it := item(n)
+		it.Body = bytes.Repeat([]byte("x"), 10<<10)
+		if err := accept(small, it); errors.Is(err, ErrFull) {
+			break
+		} else if err != nil || n > 100 {
+			t.Fatalf("%v after %d items", err, n)
+		}
+	}
+	if info, err := os.Stat(small.cfg.Path); err != nil || info.Size() > 512<<10 {
+		t.Errorf("the file has %d bytes, %v", info.Size(), err)
+	}
+}
+
+// pageSize is the engine's, which is the machine's.
+var pageSize = os.Getpagesize()
+
+// A crash within any commit: any of its writes may be missing, cut off or zeros, those behind
+// the sync only once all before it are there. The store then holds what was confirmed, and
+// the commit under way whole or not at all.
+func TestTornWrites(t *testing.T) {
+	folder := t.TempDir()
+	path := filepath.Join(folder, "jobs")
+	s := open(t, Config{Path: path})
+	image := func() []byte {
+		b, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	before, state := image(), held(t, s)
+	for n := range 25 {
+		c := Change{Item: item(n)}
+		if n%5 == 4 {
+			c = Change{Item: item(n - 2), Forget: true}
+		}
+		if err := update(s, c); err != nil {
+			t.Fatal(err)
+		}
+		after, next := image(), held(t, s)
+		for range 8 {
+			torn := bytes.Clone(before)
+			if len(torn) < len(after) && random.IntN(2) == 0 {
+				torn = append(torn, make([]byte, len(after)-len(torn))...)
+			}
+			metaToo := random.IntN(3) == 0
+			for at := 2 * pageSize; at < len(torn); at += pageSize {
+				page := after[at : at+pageSize]
+				switch how := random.IntN(4); {
+				case metaToo, how == 0:
+					copy(torn[at:], page)
+				case how == 1:
+					copy(torn[at:], page[:random.IntN(pageSize)])
+				case how == 2 && !bytes.Equal(before[min(at, len(before)):min(at+pageSize, len(before))], page):
+					clear(torn[at : at+pageSize])
+				}
+			}
+			if metaToo && len(torn) == len(after) {
+				copy(torn, after[:512*random.IntN(2*pageSize/512)]) // a sector is whole
+			}
+			own := filepath.Join(folder, "torn")
+			if err := os.WriteFile(own, torn, 0o600); err != nil {
+				t.Fatal(err)
+			}
+			o, err := Open(Config{Path: own})
+			if err != nil {
+				t.Fatalf("commit %d, torn: %v", n, err)
+			}
+			if got := held(t, o); cmp.Diff(state, got) != "" && cmp.Diff(next, got) != "" {
+				t.Fatalf("commit %d, torn: neither the old state nor the new: %s", n, cmp.Diff(state, got))
+			}
+			o.Close()
+		}
+		before, state = after, next
+	}
+}
+
+// A bit that is flipped anywhere is told, or lay where it matters to nobody: no item comes
+// back changed, and none is missing without a word.
+func TestFlippedBits(t *testing.T) {
+	folder := t.TempDir()
+	path := filepath.Join(folder, "jobs")
+	s := open(t, Config{Path: path})
+	for n := range 60 {
+		if err := accept(s, item(n)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	want := held(t, s)
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	random := rand.New(rand.NewPCG(3, 4))
+	told := 0
+	for range 600 {
+		flipped := bytes.Clone(whole)
+		at := random.IntN(len(flipped))
+		flipped[at] ^= 1 << random.IntN(8)
+		own := filepath.Join(folder, "flipped")
+		if err := os.WriteFile(own, flipped, 0o600); err != nil {
+			t.Fatal(err)
+		}
+		o, err := Open(Config{Path: own})
+		if err != nil {
+			told++
+			continue
+		}
+		r, err := o.Recover(1)
+		for _, it := range r.itemsOrNone() {
+			if diff := cmp.Diff(want[it.ID], it); diff != "" {
+				t.Errorf("byte %d: an item came back changed: %s", at, diff)
+			}
+		}
+		if err != nil || len(r.Broken) > 0 {
+			told++
+		} else if len(r.Items) != len(want) {
+			t.Errorf("byte %d: %d of %d items, and not a word", at, len(r.Items), len(want))
+		}
+		o.Close()
+	}
+	if told < 20 {
+		t.Errorf("%d of 600 flipped bits were told: the file is hardly used", told)
+	}
+}
+
+func (r *Recovered) itemsOrNone() []*life.Item {
+	if r == nil {
+		return nil
+	}
+	return r.Items
+}
+
+// A file of version 1, kept as it was, is brought up to this version with all its items; one
+// of a later version is left alone.
+func TestVersions(t *testing.T) {
+	raw, err := os.ReadFile("testdata/v1.db")
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "jobs")
+	if err := os.WriteFile(path, raw, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 { // the second opening finds it done
+		s := open(t, Config{Path: path})
+		got := held(t, s)
+		if len(got) != 3 || cmp.Diff(item(2), got["item-0002"]) != "" {
+			t.Errorf("%d items, %+v", len(got), got["item-0002"])
+		}
+		s.Close()
+	}
+	db, err := bbolt.Open(path, 0o600, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	err = db.Update(func(tx *bbolt.Tx) error { return tx.Bucket(metaBucket).Put(versionKey, bytesOf(3)) })
+	if err := errors.Join(err, db.Close()); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open(Config{Path: path}); err == nil || !strings.Contains(err.Error(), "format version 3") {
+		t.Errorf("%v", err)
+	}
+	if err := os.WriteFile(path, []byte(strings.Repeat("no database ", 1000)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := Open(Config{Path: path}); err == nil || strings.Contains(err.Error(), "\n") {
+		t.Errorf("a file that is no store: %v", err)
+	}
+}
+
+// A backup that is made while items come is a whole store.
+func TestBackup(t *testing.T) {
+	folder := t.TempDir()
+	s := open(t, Config{Path: filepath.Join(folder, "jobs")})
+	for n := range 50 {
+		if err := accept(s, item(n)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	stop, stopped := make(chan bool), make(chan bool)
+	go func() {
+		defer close(stopped)
+		for n := 50; ; n++ {
+			select {
+			case <-stop:
+				return
+			default:
+				if err := accept(s, item(n)); err != nil {
+					t.Error(err)
+					return
+				}
+			}
+		}
+	}()
+	f, err := os.Create(filepath.Join(folder, "copy"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := errors.Join(s.Backup(io.Writer(f)), f.Close()); err != nil {
+		t.Fatal(err)
+	}
+	close(stop)
+	<-stopped
+	got := held(t, open(t, Config{Path: f.Name()}))
+	for n := range 50 {
+		if cmp.Diff(item(n), got[item(n).ID]) != "" {
+			t.Fatalf("item %d is not in the backup", n)
+		}
+	}
+}
