Encode stored items in their callers, and measure accepts beside the bare engine

The one writer also encoded every record, and asked the engine for its size after each commit.

Change: callers encode; a commit tells the size. A benchmark of accepts from 1 to 256 callers, and one of opening after a stop.

--- /dev/null
+++ b/internal/store/bench_test.go
@@ -0,0 +1,109 @@
+package store
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"dahliaford/internal/store/life"
+	"go.etcd.io/bbolt"
+)
+
+// bare writes what accepts would, straight to the engine, in batches of the same size.
+func bare(b *testing.B, callers int) float64 {
+	db, err := bbolt.Open(filepath.Join(b.TempDir(), "bare"), 0o600, &bbolt.Options{
+		FreelistType: bbolt.FreelistMapType})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer db.Close()
+	value := make([]byte, 400)
+	n := 0
+	began := time.Now()
+	for time.Since(began) < time.Second {
+		if err := db.Update(func(tx *bbolt.Tx) error {
+			bucket, err := tx.CreateBucketIfNotExists(itemsBucket)
+			for range callers {
+				if n++; err == nil {
+					err = bucket.Put(fmt.Appendf(nil, "item-%09d", rand.IntN(1<<30)), value)
+				}
+			}
+			return err
+		}); err != nil {
+			b.Fatal(err)
+		}
+	}
+	return float64(n) / time.Since(began).Seconds()
+}
+
+// Durable accepts with so many callers, each waiting for its own, beside the engine alone.
+func BenchmarkAccept(b *testing.B) {
+	for _, callers := range []int{1, 4, 16, 64, 256} {
+		b.Run(fmt.Sprint(callers), func(b *testing.B) {
+			engine := bare(b, callers)
+			s := open(b, Config{Path: filepath.Join(b.TempDir(), "jobs"), MostBytes: 8 << 30})
+			var mu sync.Mutex
+			var took []time.Duration
+			var all sync.WaitGroup
+			b.ResetTimer()
+			began := time.Now()
+			for c := range callers {
+				all.Go(func() {
+					var mine []time.Duration
+					for n := 0; n < max(b.N/callers, 1); n++ {
+						it := &life.Item{ID: fmt.Sprintf("item-%09d", rand.IntN(1<<30)), Class: "post-reading",
+							Body: make([]byte, 200), Deadline: life.Micros(c)}
+						at := time.Now()
+						if err := accept(s, it); err != nil {
+							b.Error(err)
+							return
+						}
+						mine = append(mine, time.Since(at))
+					}
+					mu.Lock()
+					took = append(took, mine...)
+					mu.Unlock()
+				})
+			}
+			all.Wait()
+			rate := float64(len(took)) / time.Since(began).Seconds()
+			slices.Sort(took)
+			b.ReportMetric(rate, "accepts/s")
+			b.ReportMetric(rate/engine, "of-engine")
+			b.ReportMetric(float64(took[len(took)*99/100].Microseconds()), "p99-us")
+		})
+	}
+}
+
+// Opening after a kill, with all items open.
+func BenchmarkRecover(b *testing.B) {
+	for _, n := range []int{100_000, 1_000_000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			path := filepath.Join(b.TempDir(), "jobs")
+			s := open(b, Config{Path: path, MostItems: 2_000_000, MostBytes: 8 << 30})
+			room := make(chan bool, 1024)
+			for i := range n {
+				room <- true
+				it := item(i)
+				it.Body = make([]byte, 200)
+				if err := s.Accept(Change{Item: it, Done: func(error) { <-room }}); err != nil {
+					b.Fatal(err)
+				}
+			}
+			if err := s.Close(); err != nil {
+				b.Fatal(err)
+			}
+			for b.Loop() {
+				s := open(b, Config{Path: path, MostItems: 2_000_000, MostBytes: 8 << 30})
+				if r, err := s.Recover(1); err != nil || len(r.Items) != n {
+					b.Fatal(err)
+				}
+				s.Close()
+			}
+		})
+	}
+}
--- a/internal/store/bolt.go
+++ b/internal/store/bolt.go
@@ -190,12 +190,16 @@
 	return it, nil
 }
 
-func (b *bolt) commit(seen life.Micros, batch []Change) error {
-	return guard(func() error { return b.update(seen, batch) })
+func (b *bolt) commit(seen life.Micros, batch []Change) (count int, size int64, err error) {
+	err = guard(func() (err error) {
+		count, size, err = b.update(seen, batch)
+		return err
+	})
+	return count, size - int64(b.db.Stats().FreeAlloc), err
 }
 
-func (b *bolt) update(seen life.Micros, batch []Change) error {
-	return b.db.Update(func(tx *bbolt.Tx) error {
+func (b *bolt) update(seen life.Micros, batch []Change) (n int, size int64, err error) {
+	err = b.db.Update(func(tx *bbolt.Tx) error {
 		items, meta := tx.Bucket(itemsBucket), tx.Bucket(metaBucket)
 		count := number(meta.Get(countKey))
 		for _, c := range batch {
@@ -213,14 +217,11 @@
 			if !held {
 				count++
 			}
-			payload, err := json.Marshal(c.Item)
-			if err != nil {
-				return err
-			}
-			if err := items.Put(key, seal(key, payload)); err != nil {
+			if err := items.Put(key, c.record); err != nil {
 				return err
 			}
 		}
+		n, size = int(count), tx.Size()
 		if err := meta.Put(countKey, bytesOf(count)); err != nil {
 			return err
 		}
@@ -229,6 +230,7 @@
 		}
 		return nil
 	})
+	return n, size, err
 }
 
 // each reads all records. One that is broken comes without an item; so does each that the
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -4,6 +4,7 @@
 package store
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
@@ -38,7 +39,8 @@
 	// the change is on disk. It must not block.
 	Done func(error)
 
-	fresh bool
+	fresh  bool
+	record []byte // the item as it is written, made by the caller and not by the one writer
 }
 
 // The errors that a change ends with.
@@ -64,7 +66,7 @@
 
 // disk is what a store needs of its engine. A commit is on disk, whole, when it returns nil.
 type disk interface {
-	commit(seen life.Micros, batch []Change) error
+	commit(seen life.Micros, batch []Change) (items int, bytes int64, err error)
 	each(func(id string, it *life.Item, broken error) error) error
 	seen() (life.Micros, error)
 	size() (items int, bytes int64, err error)
@@ -147,6 +149,9 @@
 // Accept stores a new item. When the store is full or the disk does not keep up, that is the
 // error, and Done is not called.
 func (s *Store) Accept(c Change) error {
+	if err := c.encode(); err != nil {
+		return err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	spare := s.cfg.MostBytes / slack
@@ -167,11 +172,23 @@
 
 // Update stores what has become of an item, or forgets it.
 func (s *Store) Update(c Change) error {
+	if err := c.encode(); err != nil {
+		return err
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.put(c)
 }
 
+func (c *Change) encode() error {
+	if c.Forget {
+		return nil
+	}
+	payload, err := json.Marshal(c.Item)
+	c.record = seal([]byte(c.Item.ID), payload)
+	return err
+}
+
 // put queues a change. It never waits for the disk.
 func (s *Store) put(c Change) error {
 	switch {
@@ -216,7 +233,7 @@
 	if failed != nil {
 		return failed
 	}
-	err := s.disk.commit(life.Micros(time.Now().UnixMicro()), batch)
+	items, bytes, err := s.disk.commit(life.Micros(time.Now().UnixMicro()), batch)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil {
@@ -228,8 +245,8 @@
 			s.fresh--
 		}
 	}
-	s.items, s.bytes, err = s.disk.size()
-	return err
+	s.items, s.bytes = items, bytes
+	return nil
 }
 
 // Failed tells why the store takes nothing more; nil: it does.
--- a/internal/store/store_test.go
+++ b/internal/store/store_test.go
@@ -20,8 +20,8 @@
 )
 
 func item(n int) *life.Item {
-	return &life.Item{ID: fmt.Sprintf("item-%04d", n), Class: "post-reading", Body: []byte(fmt.Sprint("body ", n)),
-		Accepted: life.Micros(n), Deadline: 1 << 50}
+	return &life.Item{ID: fmt.Sprintf("item-%04d", n), Class: "post-reading",
+		Body: []byte(fmt.Sprint("body ", n)), Accepted: life.Micros(n), Deadline: 1 << 50}
 }
 
 func open(t testing.TB, cfg Config) *Store {
@@ -88,7 +88,8 @@
 	}
 	want["item-0003"] = &changed
 	delete(want, "item-0004")
-	if _, err := Open(Config{Path: path}); err == nil || !strings.HasSuffix(err.Error(), "another process has it open") {
+	_, err := Open(Config{Path: path})
+	if err == nil || !strings.HasSuffix(err.Error(), "another process has it open") {
 		t.Errorf("%v", err)
 	}
 	if err := s.Close(); err != nil {
@@ -117,7 +118,7 @@
 
 var errIO = errors.New("input/output error")
 
-func (c *counting) commit(seen life.Micros, batch []Change) error {
+func (c *counting) commit(seen life.Micros, batch []Change) (int, int64, error) {
 	if c.hold != nil {
 		<-c.hold
 	}
@@ -126,7 +127,7 @@
 	n := c.commits
 	c.Unlock()
 	if c.failAt > 0 && n >= c.failAt {
-		return errIO
+		return 0, 0, errIO
 	}
 	return c.disk.commit(seen, batch)
 }
