Look after a job store from the command line: check, show, backup, restore, compact

Need: who is on call must be able to see an item's life, to know whether a store is in order, and to have it copied, restored and made smaller.

Change: dahliaford store, on what internal/store reads without a writer.

The tests walk through all five commands, a store in use, a broken record and files that are in the way.

--- a/cmd/dahliaford/main.go
+++ b/cmd/dahliaford/main.go
@@ -22,6 +22,7 @@
 type commands struct {
 	Serve   serveCmd   `cmd:"" help:"Serve as one scheduler; what it does without any argument."`
 	Send    sendCmd    `cmd:"" help:"Hand in one job, or a file of jobs, and wait for their ends."`
+	Store   storeCmd   `cmd:"" help:"Look after a job store: check, show, backup, restore, compact."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 	Help    helpCmd    `cmd:"" help:"Print this help."`
 }
--- /dev/null
+++ b/cmd/dahliaford/store_test.go
@@ -0,0 +1,109 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"dahliaford/internal/store"
+	"dahliaford/internal/store/life"
+)
+
+// The commands as somebody on call would use them: check, show, back up, restore, compact;
+// and what they say where something is wrong.
+func TestStoreCommands(t *testing.T) {
+	folder := t.TempDir()
+	path := filepath.Join(folder, "jobs")
+	s, err := store.Open(store.Config{Path: path})
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	put := func(add func(store.Change) error, c store.Change) {
+		t.Helper()
+		c.Done = func(err error) { done <- err }
+		if err := add(c); err != nil {
+			t.Fatal(err)
+		}
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+	}
+	it := &life.Item{ID: "a1", Class: "post-reading", Tenant: "sahel", Body: []byte("4211"),
+		Accepted: 1_000_000, Deadline: 9_000_000}
+	put(s.Accept, store.Change{Item: it})
+	for _, e := range []life.Event{{Kind: life.Routed, At: 2_000_000, Region: "s-1", Rack: "north/0"},
+		{Kind: life.Ended, At: 3_000_000, What: life.MayHave},
+		{Kind: life.Answered, At: 4_000_000, Verdict: life.Failed, Keep: 8_000_000}} {
+		if err := it.Apply(e); err != nil {
+			t.Fatal(err)
+		}
+	}
+	put(s.Update, store.Change{Item: it})
+	wrong := &life.Item{ID: "b2", Attempts: []life.Attempt{{At: 5, What: life.MayHave}, {At: 6}}, Deadline: 9}
+	put(s.Accept, store.Change{Item: wrong})
+
+	call := func(args ...string) (int, string, string) {
+		var out, errs bytes.Buffer
+		status := run(append([]string{"store"}, args...), nil, &out, &errs)
+		return status, out.String(), errs.String()
+	}
+	if status, _, errs := call("check", path); status != failed || !strings.Contains(errs, "another process") {
+		t.Errorf("a store in use: %d, %q", status, errs)
+	}
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	status, out, _ := call("check", path)
+	if status != failed || !strings.Contains(out, `item "b2": attempt 2: an attempt may have run`) ||
+		!strings.Contains(out, "1 items in order, 1 faults") {
+		t.Errorf("check: %d, %q", status, out)
+	}
+	status, out, _ = call("show", path, "a1")
+	for _, want := range []string{"00:00:01.000000  accepted: class post-reading",
+		"00:00:02.000000  attempt 1: routed to s-1, rack north/0", "00:00:03.000000  attempt 1: it may have run",
+		"00:00:04.000000  answered: failed"} {
+		if !strings.Contains(out, want) || status != fine {
+			t.Errorf("show: status %d, no %q in\n%s", status, want, out)
+		}
+	}
+	if status, _, errs := call("show", path, "zz"); status != failed || !strings.Contains(errs, "no such item") {
+		t.Errorf("show of nothing: %d, %q", status, errs)
+	}
+	backup, other := filepath.Join(folder, "backup"), filepath.Join(folder, "other")
+	if status, _, errs := call("backup", path, backup); status != fine {
+		t.Fatalf("backup: %d, %q", status, errs)
+	}
+	if status, _, errs := call("backup", path, backup); status != failed || !strings.Contains(errs, "exists") {
+		t.Errorf("backup over a file: %d, %q", status, errs)
+	}
+	if status, _, errs := call("restore", backup, other); status != failed ||
+		!strings.Contains(errs, "not in order") {
+		t.Errorf("restore of what is not in order: %d, %q", status, errs)
+	}
+	// Without the wrong one all goes through, and the copy holds what the store held.
+	if s, err = store.Open(store.Config{Path: path}); err != nil {
+		t.Fatal(err)
+	}
+	put(s.Update, store.Change{Item: wrong, Forget: true})
+	if err := s.Close(); err != nil {
+		t.Fatal(err)
+	}
+	os.Remove(backup)
+	for _, args := range [][]string{{"backup", path, backup}, {"restore", backup, other}, {"compact", other},
+		{"check", other}} {
+		if status, out, errs := call(args...); status != fine {
+			t.Errorf("%v: %d, %q, %q", args, status, out, errs)
+		}
+	}
+	if status, out, _ := call("show", other, "a1"); status != fine ||
+		!strings.Contains(out, "answered: failed") {
+		t.Errorf("after restore and compact: %d, %q", status, out)
+	}
+	if status, _, errs := call("check", filepath.Join(folder, "none")); status != failed ||
+		!strings.Contains(errs, "no such file") {
+		t.Errorf("no file: %d, %q", status, errs)
+	}
+}
--- a/internal/store/life/life.go
+++ b/internal/store/life/life.go
@@ -38,6 +38,18 @@
 	Done                   // it ran, and its result is known
 )
 
+func (o Outcome) String() string {
+	return word(int(o), "not ended", "it never ran", "it may have run", "done")
+}
+
+// word is a word for a number, which a broken record may have as it likes.
+func word(n int, words ...string) string {
+	if n >= len(words) {
+		return fmt.Sprint("unknown: ", n)
+	}
+	return words[n]
+}
+
 // Verdict is an item's final answer.
 type Verdict uint8
 
@@ -49,7 +61,7 @@
 	Expired         // its deadline passed, and it never ran
 )
 
-func (v Verdict) String() string { return [...]string{"none", "served", "failed", "expired"}[v] }
+func (v Verdict) String() string { return word(int(v), "none", "served", "failed", "expired") }
 
 // MostAttempts is how often an item may be routed in all.
 const MostAttempts = 4
--- /dev/null
+++ b/internal/store/tools.go
@@ -0,0 +1,177 @@
+package store
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"go.etcd.io/bbolt"
+
+	"dahliaford/internal/store/life"
+)
+
+// Reader reads a store that no process has open for writing.
+type Reader struct{ disk *bolt }
+
+// Read opens a store to read it.
+func Read(path string) (*Reader, error) {
+	if _, err := os.Stat(path); err != nil {
+		return nil, err
+	}
+	d, err := openBolt(path, true)
+	if err != nil {
+		return nil, fmt.Errorf("store %s: %w", path, err)
+	}
+	return &Reader{d}, nil
+}
+
+// Close closes it.
+func (r *Reader) Close() error { return r.disk.close() }
+
+// Each reads all items. broken says what is wrong with a record, by its checksum or by what
+// an item may become; then there may be no item.
+func (r *Reader) Each(do func(id string, it *life.Item, broken error) error) error {
+	return r.disk.each(func(id string, it *life.Item, broken error) error {
+		if broken == nil {
+			broken = it.Check()
+		}
+		return do(id, it, broken)
+	})
+}
+
+// ErrNone: there is no such item.
+var ErrNone = errors.New("no such item")
+
+// Find reads one item.
+func (r *Reader) Find(id string) (it *life.Item, err error) {
+	err = r.disk.view(func(tx *bbolt.Tx) error {
+		record := tx.Bucket(itemsBucket).Get([]byte(id))
+		if record == nil {
+			return ErrNone
+		}
+		it, err = unseal([]byte(id), record)
+		return err
+	})
+	return it, err
+}
+
+// Backup writes a whole copy.
+func (r *Reader) Backup(w io.Writer) error { return r.disk.writeTo(w) }
+
+// Check tells each thing that is wrong with a store, a line each, and how many items it has.
+func Check(path string) (items int, faults []error, err error) {
+	r, err := Read(path)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer r.Close()
+	err = r.Each(func(id string, it *life.Item, broken error) error {
+		switch {
+		case broken == nil:
+			items++
+		case id == "":
+			faults = append(faults, broken)
+		default:
+			faults = append(faults, fmt.Errorf("item %q: %w", id, broken))
+		}
+		return nil
+	})
+	return items, faults, err
+}
+
+// create fills a new file in one step: under another name, on disk, and then renamed.
+func create(path string, fill func(temporary string) error) error {
+	temporary := path + ".new"
+	if err := os.Remove(temporary); err != nil && !errors.Is(err, os.ErrNotExist) {
+		return err
+	}
+	defer os.Remove(temporary) // where it was not renamed
+	if err := fill(temporary); err != nil {
+		return err
+	}
+	if err := syncFile(temporary); err != nil {
+		return err
+	}
+	if err := os.Rename(temporary, path); err != nil {
+		return err
+	}
+	return syncFile(filepath.Dir(path))
+}
+
+func syncFile(path string) error {
+	f, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	return errors.Join(f.Sync(), f.Close())
+}
+
+// BackupTo copies a store into a file that does not exist yet.
+func BackupTo(path, backup string) error {
+	r, err := Read(path)
+	if err != nil {
+		return err
+	}
+	defer r.Close()
+	return createNew(backup, func(temporary string) error {
+		f, err := os.OpenFile(temporary, os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
+		if err != nil {
+			return err
+		}
+		return errors.Join(r.Backup(f), f.Close())
+	})
+}
+
+func createNew(path string, fill func(temporary string) error) error {
+	if _, err := os.Stat(path); !errors.Is(err, os.ErrNotExist) {
+		return errors.Join(err, fmt.Errorf("%s exists: it is not replaced", path))
+	}
+	return create(path, fill)
+}
+
+// Restore makes a store of a backup that is in order, where there is none yet.
+func Restore(backup, path string) (items int, err error) {
+	items, faults, err := Check(backup)
+	if err == nil && len(faults) > 0 {
+		err = fmt.Errorf("the backup is not in order: %w", faults[0])
+	}
+	if err != nil {
+		return 0, err
+	}
+	return items, BackupTo(backup, path)
+}
+
+// Compact gives space back that deleted items took. It needs the store for itself, and room
+// for what is in use once more.
+func Compact(path string) (before, after int64, err error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return 0, 0, err
+	}
+	source, err := openBolt(path, false)
+	if err != nil {
+		return 0, 0, fmt.Errorf("store %s: %w", path, err)
+	}
+	defer source.close()
+	if source.behind != nil {
+		return 0, 0, fmt.Errorf("store %s: %w", path, source.behind)
+	}
+	err = create(path, func(temporary string) error {
+		target, err := bbolt.Open(temporary, 0o600, &bbolt.Options{FreelistType: bbolt.FreelistMapType})
+		if err != nil {
+			return err
+		}
+		err = guard(func() error { return bbolt.Compact(target, source.db, 1<<20) })
+		return errors.Join(err, target.Close())
+	})
+	if err != nil {
+		return 0, 0, err
+	}
+	now, err := os.Stat(path)
+	if err != nil {
+		return 0, 0, err
+	}
+	return info.Size(), now.Size(), nil
+}
