Kill a process that stores items, over and over, and check what it had confirmed

Need: the disk under the store was tested with broken files and failing commits, not with a process that dies.

Change: dahlialab drill disk. A process takes items through their lives and prints what the store confirms; it is killed at random, and after each kill all of that must be there and in order. The benchmark of opening tells the heap.

--- a/cmd/dahlialab/drill.go
+++ b/cmd/dahlialab/drill.go
@@ -46,6 +46,7 @@
 		onProgram(15*time.Second, attempts)},
 	"desk": {"desks of the library beside plain ones, at real schedulers that go and come back",
 		onProgram(8*time.Second, desks)},
+	"disk": {"a process that stores items is killed at random; all that was confirmed must be there", diskKills},
 	"engines": {"embedded stores under a job store: accepts on disk, opening after a kill, space, memory",
 		engines},
 	"planted": {"plants faults in the program, one build each, and lets the explorer find them",
--- a/internal/store/bench_test.go
+++ b/internal/store/bench_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"path/filepath"
+	"runtime"
 	"slices"
 	"sync"
 	"testing"
@@ -97,13 +98,23 @@
 			if err := s.Close(); err != nil {
 				b.Fatal(err)
 			}
+			var heap uint64
 			for b.Loop() {
 				s := open(b, Config{Path: path, MostItems: 2_000_000, MostBytes: 8 << 30})
-				if r, err := s.Recover(1); err != nil || len(r.Items) != n {
+				r, err := s.Recover(1)
+				if err != nil || len(r.Items) != n {
 					b.Fatal(err)
 				}
+				b.StopTimer()
+				var m runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&m)
+				heap = m.HeapAlloc
+				runtime.KeepAlive(r)
 				s.Close()
+				b.StartTimer()
 			}
+			b.ReportMetric(float64(heap)/(1<<20), "heap-MB")
 		})
 	}
 }
