Check an appliance's file: the job store's settings, with a schema

Need: a store needs a directory, a quota and times that the platform's settings do not have.

Change: deploy/appliance.json with internal/appliance, which reads it against a schema; dahliaford check FILE says in one line what is wrong, with the field's path. What the desk's file was checked with is a package of its own, internal/schema, used by both. Nothing that serves reads the file yet.

--- a/cmd/dahliaford/main.go
+++ b/cmd/dahliaford/main.go
@@ -20,11 +20,12 @@
 )
 
 type commands struct {
-	Serve   serveCmd   `cmd:"" help:"Serve as one scheduler; what it does without any argument."`
-	Send    sendCmd    `cmd:"" help:"Hand in one job, or a file of jobs, and wait for their ends."`
-	Store   storeCmd   `cmd:"" help:"Look after a job store: check, show, backup, restore, compact."`
-	Version versionCmd `cmd:"" help:"Print the version."`
-	Help    helpCmd    `cmd:"" help:"Print this help."`
+	Serve   serveCmd     `cmd:"" help:"Serve as one scheduler; what it does without any argument."`
+	Send    sendCmd      `cmd:"" help:"Hand in one job, or a file of jobs, and wait for their ends."`
+	Check   checkFileCmd `cmd:"" help:"Check an appliance's file."`
+	Store   storeCmd     `cmd:"" help:"Look after a job store: check, show, backup, restore, compact."`
+	Version versionCmd   `cmd:"" help:"Print the version."`
+	Help    helpCmd      `cmd:"" help:"Print this help."`
 }
 
 // exit is an end with a status of its own; without a text nothing is said.
--- a/cmd/dahliaford/send_test.go
+++ b/cmd/dahliaford/send_test.go
@@ -194,6 +194,8 @@
 		{[]string{"help"}, fine, "Usage: dahliaford", ""},
 		{[]string{"help", "send"}, fine, "--jobs", ""},
 		{[]string{"send", "--help"}, fine, "--at-once", ""},
+		{[]string{"check", "../../deploy/appliance.json"}, fine, "in order: job store in /var/lib", ""},
+		{[]string{"check", "../../examples/desk.json"}, failed, "", "the file: Additional property"},
 		{[]string{"dance"}, misused, "", "unexpected argument dance"},
 		{[]string{"serve"}, failed, "", "BALANCER_CONFIG names no file"},
 		{nil, failed, "", "BALANCER_CONFIG names no file"},
--- a/desk/config.go
+++ b/desk/config.go
@@ -1,16 +1,15 @@
 package desk
 
 import (
-	"cmp"
 	_ "embed"
 	"encoding/json"
 	"fmt"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
 	"github.com/xeipuuv/gojsonschema"
+
+	"dahliaford/internal/schema"
 )
 
 // Schema is the JSON Schema of a desk's configuration file.
@@ -18,11 +17,9 @@
 //go:embed schema.json
 var Schema []byte
 
-// The library is chosen for what it costs a program that only links it: schedulers are
-// started often, all at once, and one that compiles its own schemas at start took 5 ms more.
-var compiled = sync.OnceValues(func() (*gojsonschema.Schema, error) {
+var checker = schema.Checker(sync.OnceValues(func() (*gojsonschema.Schema, error) {
 	return gojsonschema.NewSchema(gojsonschema.NewBytesLoader(Schema))
-})
+}))
 
 // file is a configuration as it stands in the file.
 type file struct {
@@ -42,20 +39,8 @@
 // ParseConfig reads a configuration file, as Schema describes it. The error is one line and
 // names the field by its path.
 func ParseConfig(raw []byte) (Config, error) {
-	schema, err := compiled()
-	if err != nil {
-		return Config{}, fmt.Errorf("desk: schema: %w", err)
-	}
-	if !json.Valid(raw) {
-		var none any
-		return Config{}, fmt.Errorf("desk: not JSON: %w", json.Unmarshal(raw, &none))
-	}
-	check, err := schema.Validate(gojsonschema.NewBytesLoader(raw))
-	switch {
-	case err != nil:
+	if err := checker.Check(raw); err != nil {
 		return Config{}, fmt.Errorf("desk: %w", err)
-	case !check.Valid():
-		return Config{}, fmt.Errorf("desk: %s", firstFault(check.Errors()))
 	}
 	var f file
 	if err := json.Unmarshal(raw, &f); err != nil {
@@ -75,22 +60,3 @@
 	}
 	return cfg, nil
 }
-
-// firstFault is the fault that lies deepest, with the path of its field: those above it
-// only say that something below them is wrong. Of several the first by name is told.
-func firstFault(faults []gojsonschema.ResultError) string {
-	depth := func(f gojsonschema.ResultError) int {
-		if strings.HasPrefix(f.Type(), "condition_") {
-			return -1 // "if" held and "then" did not: another fault says why
-		}
-		return strings.Count(f.Context().String(), ".")
-	}
-	fault := slices.MinFunc(faults, func(a, b gojsonschema.ResultError) int {
-		return cmp.Or(cmp.Compare(depth(b), depth(a)), strings.Compare(a.String(), b.String()))
-	})
-	where := strings.TrimPrefix(strings.TrimPrefix(fault.Context().String(), "(root)"), ".")
-	if where == "" {
-		where = "the file"
-	}
-	return where + ": " + fault.Description()
-}
--- /dev/null
+++ b/internal/appliance/appliance.go
@@ -0,0 +1,78 @@
+// Package appliance reads the settings of an installation of our own, which has what the
+// platform does not give: a disk that lasts.
+package appliance
+
+import (
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/xeipuuv/gojsonschema"
+
+	"dahliaford/internal/schema"
+	"dahliaford/internal/store"
+)
+
+// Schema is the JSON Schema of the file.
+//
+//go:embed schema.json
+var Schema []byte
+
+var checker = schema.Checker(sync.OnceValues(func() (*gojsonschema.Schema, error) {
+	return gojsonschema.NewSchema(gojsonschema.NewBytesLoader(Schema))
+}))
+
+// Config is what the file says.
+type Config struct {
+	Store *Store // nil: there is none
+}
+
+// Store says how the job store is kept.
+type Store struct {
+	store.Config
+	Keep time.Duration // how long an answer can be read
+	Ask  time.Duration // how long regions may call back after a start
+	End  bool          // the program ends when the disk fails, instead of serving on
+}
+
+const (
+	storeFile   = "jobs.db"
+	defaultKeep = time.Hour
+	defaultAsk  = 5 * time.Second
+)
+
+// Parse reads a file. The error is one line and names the field by its path.
+func Parse(raw []byte) (Config, error) {
+	if err := checker.Check(raw); err != nil {
+		return Config{}, err
+	}
+	f := struct {
+		Store *struct {
+			Directory string   `json:"directory"`
+			MostItems int      `json:"most_items"`
+			MostMB    int64    `json:"most_mb"`
+			KeepS     *float64 `json:"keep_s"`
+			AskMs     *int64   `json:"ask_ms"`
+			OnFailure string   `json:"on_failure"`
+		} `json:"store"`
+	}{}
+	if err := json.Unmarshal(raw, &f); err != nil {
+		return Config{}, fmt.Errorf("the file: %w", err)
+	}
+	if f.Store == nil {
+		return Config{}, nil
+	}
+	s := &Store{Config: store.Config{Path: filepath.Join(f.Store.Directory, storeFile),
+		MostItems: f.Store.MostItems, MostBytes: f.Store.MostMB << 20},
+		Keep: defaultKeep, Ask: defaultAsk, End: f.Store.OnFailure == "end"}
+	if f.Store.KeepS != nil {
+		s.Keep = time.Duration(*f.Store.KeepS * float64(time.Second))
+	}
+	if f.Store.AskMs != nil {
+		s.Ask = time.Duration(*f.Store.AskMs) * time.Millisecond
+	}
+	return Config{Store: s}, nil
+}
