--- /dev/null
+++ b/desk/prom/example_test.go
@@ -0,0 +1,32 @@
+package prom_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"dahliaford/desk"
+	"dahliaford/desk/prom"
+)
+
+// A client whose counters are registered with Prometheus.
+func ExampleNew() {
+	observer, err := prom.New(prometheus.NewRegistry())
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	client, err := desk.New(desk.Config{
+		Schedulers: []string{"127.0.0.1:8443"},
+		Classes:    map[string]desk.Class{"look": {Deadline: time.Second, Effect: desk.Safe}},
+		Observer:   observer,
+	})
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer client.Close()
+	fmt.Println("ready")
+	// Output: ready
+}
