Make schemas compile, records checked and drills wait in one place each

What stood twice: the compiling of a schema in desk and in internal/appliance, now schema.New; the check of a record against what an item may become in Store.Recover and Reader.Each, now in the disk's own reading, with one naming of faults; the wait that a context may end, in the attempt's trouble and in the desk's drill, now rig.Rest. A fault of the whole store is told by Recover without an empty item's name, as store.Check told it already; else nothing changes.

--- a/cmd/dahlialab/desks.go
+++ b/cmd/dahlialab/desks.go
@@ -210,14 +210,7 @@
 // shrink takes schedulers away within a sixth of the span (10 s of a minute), every other
 // one without a word, and brings them back after a while.
 func shrink(ctx context.Context, f *rig.Fleet, span time.Duration) error {
-	rest := func(d time.Duration) bool {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-time.After(d):
-			return true
-		}
-	}
+	rest := func(d time.Duration) bool { return rig.Rest(ctx, d) }
 	gone := deskSchedulers - deskLeft
 	step := span / 6 / time.Duration(gone)
 	if !rest(span / 4) {
--- a/desk/config.go
+++ b/desk/config.go
@@ -4,11 +4,8 @@
 	_ "embed"
 	"encoding/json"
 	"fmt"
-	"sync"
 	"time"
 
-	"github.com/xeipuuv/gojsonschema"
-
 	"dahliaford/internal/schema"
 )
 
@@ -17,9 +14,7 @@
 //go:embed schema.json
 var Schema []byte
 
-var checker = schema.Checker(sync.OnceValues(func() (*gojsonschema.Schema, error) {
-	return gojsonschema.NewSchema(gojsonschema.NewBytesLoader(Schema))
-}))
+var checker = schema.New(Schema)
 
 // file is a configuration as it stands in the file.
 type file struct {
--- a/internal/appliance/appliance.go
+++ b/internal/appliance/appliance.go
@@ -7,11 +7,8 @@
 	"encoding/json"
 	"fmt"
 	"path/filepath"
-	"sync"
 	"time"
 
-	"github.com/xeipuuv/gojsonschema"
-
 	"dahliaford/internal/schema"
 	"dahliaford/internal/store"
 )
@@ -21,9 +18,7 @@
 //go:embed schema.json
 var Schema []byte
 
-var checker = schema.Checker(sync.OnceValues(func() (*gojsonschema.Schema, error) {
-	return gojsonschema.NewSchema(gojsonschema.NewBytesLoader(Schema))
-}))
+var checker = schema.New(Schema)
 
 // Config is what the file says.
 type Config struct {
--- a/internal/rig/attempt.go
+++ b/internal/rig/attempt.go
@@ -157,17 +157,20 @@
 	}
 }
 
+// Rest waits, and tells whether it waited to the end: the context may end first.
+func Rest(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
+	}
+}
+
 // trouble crashes regions, lets them drain, and breaks the watch, one after another.
 func trouble(ctx context.Context, seed uint64, out *Outcome, at *site, rec standin.Recorder) {
 	random := rand.New(rand.NewPCG(seed, 2))
-	rest := func(d time.Duration) bool {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-time.After(d):
-			return true
-		}
-	}
+	rest := func(d time.Duration) bool { return Rest(ctx, d) }
 	for rest(400*time.Millisecond + time.Duration(random.IntN(600))*time.Millisecond) {
 		i := random.IntN(len(at.regions))
 		line := at.lines[i]
--- a/internal/schema/schema.go
+++ b/internal/schema/schema.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"slices"
 	"strings"
+	"sync"
 
 	"github.com/xeipuuv/gojsonschema"
 )
@@ -16,6 +17,13 @@
 // its own schemas at start took 5 ms more.
 type Checker func() (*gojsonschema.Schema, error)
 
+// New returns a checker against a schema.
+func New(raw []byte) Checker {
+	return sync.OnceValues(func() (*gojsonschema.Schema, error) {
+		return gojsonschema.NewSchema(gojsonschema.NewBytesLoader(raw))
+	})
+}
+
 // Check tells the fault of a file in one line, with the path of the field.
 func (c Checker) Check(raw []byte) error {
 	compiled, err := c()
--- a/internal/store/bolt.go
+++ b/internal/store/bolt.go
@@ -235,8 +235,8 @@
 	return n, size, err
 }
 
-// each reads all records. One that is broken comes without an item; so does each that the
-// count says is missing.
+// each reads all records. broken says what is wrong with one, by its checksum or by what an
+// item may become; without an id it is about the store as a whole.
 func (b *bolt) each(do func(id string, it *life.Item, broken error) error) error {
 	return b.view(func(tx *bbolt.Tx) error {
 		n := uint64(0)
@@ -248,6 +248,9 @@
 		if err := tx.Bucket(itemsBucket).ForEach(func(k, v []byte) error {
 			n++
 			it, err := unseal(k, v)
+			if err == nil {
+				err = it.Check()
+			}
 			return do(string(k), it, err)
 		}); err != nil {
 			return err
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -133,11 +133,8 @@
 	}
 	r := &Recovered{Now: life.Since(clock, seen)}
 	err = s.disk.each(func(id string, it *life.Item, broken error) error {
-		if broken == nil {
-			broken = it.Check()
-		}
 		if broken != nil {
-			r.Broken = append(r.Broken, fmt.Errorf("item %q: %w", id, broken))
+			r.Broken = append(r.Broken, named(id, broken))
 		} else {
 			r.Items = append(r.Items, it)
 		}
@@ -146,6 +143,14 @@
 	return r, err
 }
 
+// named puts the item's name before what is wrong with it, where it is about one item.
+func named(id string, broken error) error {
+	if id == "" {
+		return broken
+	}
+	return fmt.Errorf("item %q: %w", id, broken)
+}
+
 // Accept stores a new item. When the store is full or the disk does not keep up, that is the
 // error, and Done is not called.
 func (s *Store) Accept(c Change) error {
--- a/internal/store/tools.go
+++ b/internal/store/tools.go
@@ -33,12 +33,7 @@
 // Each reads all items. broken says what is wrong with a record, by its checksum or by what
 // an item may become; then there may be no item.
 func (r *Reader) Each(do func(id string, it *life.Item, broken error) error) error {
-	return r.disk.each(func(id string, it *life.Item, broken error) error {
-		if broken == nil {
-			broken = it.Check()
-		}
-		return do(id, it, broken)
-	})
+	return r.disk.each(do)
 }
 
 // ErrNone: there is no such item.
@@ -68,13 +63,10 @@
 	}
 	defer r.Close()
 	err = r.Each(func(id string, it *life.Item, broken error) error {
-		switch {
-		case broken == nil:
+		if broken != nil {
+			faults = append(faults, named(id, broken))
+		} else {
 			items++
-		case id == "":
-			faults = append(faults, broken)
-		default:
-			faults = append(faults, fmt.Errorf("item %q: %w", id, broken))
 		}
 		return nil
 	})
