Read refusals and wrong submissions of a try in one place of the desk's plan

What stood four times: which statuses refuse a job, and which say that it makes no sense, in Ended, mayHaveRun, verdict, judge and the observer's words, now Result.Refused and Result.Invalid. A try's outcome held a copy of each field of the plan's Result and a method to copy them back; it holds the Result. Nothing else changes: the tests are as they were.

--- a/desk/conn.go
+++ b/desk/conn.go
@@ -171,23 +171,19 @@
 
 // outcome is the end of a try.
 type outcome struct {
-	proof   plan.Proof
-	status  int
-	body    []byte
-	advised bool
-	advice  time.Duration
-	closing bool
-	err     error
+	plan.Result
+	body []byte
+	err  error
 }
 
-func (o outcome) result() plan.Result {
-	return plan.Result{Proof: o.proof, Status: o.status, Advised: o.advised, Advice: o.advice,
-		Closing: o.closing}
+// broke is a try that ended without an answer.
+func broke(proof plan.Proof, err error) outcome {
+	return outcome{Result: plan.Result{Proof: proof}, err: err}
 }
 
 // handedIn tells whether a scheduler had any of the job.
 func (o outcome) handedIn() bool {
-	return o.proof != plan.Unreached && o.proof != plan.Parted && o.proof != plan.NoRoom
+	return o.Proof != plan.Unreached && o.Proof != plan.Parted && o.Proof != plan.NoRoom
 }
 
 // try makes one try, and says what its end proves.
@@ -198,11 +194,11 @@
 	var room errNoRoom
 	switch {
 	case errors.As(err, &room):
-		return outcome{proof: plan.NoRoom, err: err}
+		return broke(plan.NoRoom, err)
 	case err == errParted:
-		return outcome{proof: plan.Parted, err: err}
+		return broke(plan.Parted, err)
 	case err != nil:
-		return outcome{proof: plan.Unreached, err: err}
+		return broke(plan.Unreached, err)
 	}
 	again := false
 	defer func() { c.pool.put(step.Scheduler, link, again) }()
@@ -211,17 +207,17 @@
 	link.SetDeadline(deadline)
 	left := time.Until(deadline).Milliseconds()
 	if left <= 0 {
-		return outcome{proof: plan.NoRoom, err: context.DeadlineExceeded}
+		return broke(plan.NoRoom, context.DeadlineExceeded)
 	}
 	if _, err := link.Write(c.request(job, step, left)); err != nil { // it is out whole, or not
 		c.pool.lose()
-		return outcome{proof: plan.NotSent, err: err}
+		return broke(plan.NotSent, err)
 	}
 	o := link.answer()
-	if o.proof != plan.Answered {
+	if o.Proof != plan.Answered {
 		c.pool.lose()
 	}
-	again = o.proof == plan.Answered && !link.last
+	again = o.Proof == plan.Answered && !link.last
 	return o
 }
 
@@ -257,9 +253,9 @@
 	if err := c.read.Wait(); err != nil {
 		var timeout net.Error
 		if c.used && !(errors.As(err, &timeout) && timeout.Timeout()) {
-			return outcome{proof: plan.Crossed, err: err}
+			return broke(plan.Crossed, err)
 		}
-		return outcome{proof: plan.Lost, err: err}
+		return broke(plan.Lost, err)
 	}
 	for range mostInterim {
 		r, err := c.read.Head()
@@ -269,26 +265,26 @@
 		case r.Status < 200:
 			continue
 		case r.Header.Get("Content-Length") == "" && r.Header.Get("Transfer-Encoding") == "" && r.Status != 204:
-			return outcome{proof: plan.Garbled, err: errors.New("an answer that does not say how long it is")}
+			return broke(plan.Garbled, errors.New("an answer that does not say how long it is"))
 		}
 		if err := c.read.Rest(r); err != nil {
 			return unread(err)
 		}
 		c.last = r.Close
-		o := outcome{proof: plan.Answered, status: r.Status, body: r.Body, closing: r.Close}
-		o.advice, o.advised = advice(r.Header.Get("Retry-After"))
+		o := outcome{Result: plan.Result{Proof: plan.Answered, Status: r.Status, Closing: r.Close}, body: r.Body}
+		o.Advice, o.Advised = advice(r.Header.Get("Retry-After"))
 		return o
 	}
-	return outcome{proof: plan.Garbled, err: errors.New("interim answers without end")}
+	return broke(plan.Garbled, errors.New("interim answers without end"))
 }
 
 // unread tells an answer that breaks the protocol from one that broke off.
 func unread(err error) outcome {
 	var wrong *http1.Error
 	if errors.As(err, &wrong) {
-		return outcome{proof: plan.Garbled, err: err}
+		return broke(plan.Garbled, err)
 	}
-	return outcome{proof: plan.Lost, err: err}
+	return broke(plan.Lost, err)
 }
 
 // advice reads Retry-After: seconds, whole or decimal. A date, or what is no number, is
--- a/desk/desk.go
+++ b/desk/desk.go
@@ -268,9 +268,9 @@
 		last = c.try(ctx, job, step, deadline)
 		if last.handedIn() {
 			tries++
-			ran = ran || last.proof != plan.NotSent
+			ran = ran || last.Proof != plan.NotSent
 		}
-		if err := ctx.Err(); err != nil && last.proof != plan.Answered && time.Now().Before(deadline) {
+		if err := ctx.Err(); err != nil && last.Proof != plan.Answered && time.Now().Before(deadline) {
 			return nil, c.leave(planned, ran, err)
 		}
 		scheduler := c.cfg.Schedulers[step.Scheduler]
@@ -286,9 +286,9 @@
 	case plan.Refused:
 		return nil, &Refused{After: step.At, Cause: last.err}
 	case plan.Failed:
-		return nil, &Failed{Status: last.status}
+		return nil, &Failed{Status: last.Status}
 	case plan.Invalid:
-		return nil, &Invalid{Status: last.status, Text: string(last.body)}
+		return nil, &Invalid{Status: last.Status, Text: string(last.body)}
 	case plan.Expired:
 		return nil, &Expired{}
 	}
@@ -300,7 +300,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	well, throttled := c.plan.Well(), c.plan.Throttled()
-	step := c.plan.Ended(time.Now(), began, j, o.result())
+	step := c.plan.Ended(time.Now(), began, j, o.Result)
 	if well == 0 && c.plan.Well() > 0 {
 		close(c.back)
 		c.back = make(chan struct{})
--- a/desk/internal/plan/plan.go
+++ b/desk/internal/plan/plan.go
@@ -88,6 +88,14 @@
 	Closing bool
 }
 
+// Refused tells whether a scheduler refused the job: it did not run there.
+func (r Result) Refused() bool { return r.Proof == Answered && (r.Status == 429 || r.Status == 503) }
+
+// Invalid tells whether a scheduler said that the job makes no sense.
+func (r Result) Invalid() bool {
+	return r.Proof == Answered && r.Status >= 400 && r.Status < 500 && r.Status != 429
+}
+
 // Verdict is the end of a job.
 type Verdict uint8
 
@@ -238,7 +246,7 @@
 	switch {
 	case r.Proof == Answered && r.Status == 200:
 		return p.finish(j, Step{Verdict: Served})
-	case r.Proof == Answered && r.Status >= 400 && r.Status < 500 && r.Status != 429:
+	case r.Invalid():
 		return p.finish(j, Step{Verdict: Invalid})
 	}
 	j.end = verdict(r)
@@ -291,7 +299,7 @@
 	case Unreached, Parted, NotSent, NoRoom:
 		return false
 	case Answered:
-		return r.Status != 503 && !(r.Status >= 400 && r.Status < 500)
+		return !r.Refused() && !r.Invalid()
 	}
 	return true
 }
@@ -300,7 +308,7 @@
 func verdict(r Result) Verdict {
 	switch r.Proof {
 	case Answered:
-		if r.Status == 429 || r.Status == 503 {
+		if r.Refused() {
 			return Refused
 		}
 		return Failed
@@ -341,11 +349,11 @@
 	case Answered:
 		s.fails, s.ejected, s.until = 0, 0, time.Time{}
 		refused := 0.0
-		if r.Status == 503 || r.Status == 429 {
+		if r.Refused() {
 			refused = 1
 		}
 		s.refuses += refusalWeight * (refused - s.refuses)
-		if refused > 0 && r.Closing && 2*(p.aside()+1) <= len(p.scheds) {
+		if r.Refused() && r.Closing && 2*(p.aside()+1) <= len(p.scheds) {
 			p.eject(now, s)
 		}
 		return
--- a/desk/observer.go
+++ b/desk/observer.go
@@ -32,7 +32,7 @@
 
 // word says how a try ended.
 func (o outcome) word() string {
-	switch o.proof {
+	switch o.Proof {
 	case plan.Unreached:
 		return "unreached"
 	case plan.Parted:
@@ -49,11 +49,11 @@
 		return "garbled"
 	}
 	switch {
-	case o.status == 200:
+	case o.Status == 200:
 		return "served"
-	case o.status == 503 || o.status == 429:
+	case o.Refused():
 		return "refused"
-	case o.status >= 400 && o.status < 500:
+	case o.Invalid():
 		return "invalid"
 	}
 	return "failed"
