Answer requests that cross the end of a stopping scheduler, before its loop ends

Cause: once nothing was owed Run left its loop, and close (internal/node/node.go) let the clients go. A client connection is read for 0.1 s more, so that a request that crosses is answered; but its submission was posted to an inbox that nobody read any more, it waited for an answer until the half second was over, and its connection was closed. One scheduler meets that once in weeks; of 300 that end in turn some meet it every time.

Ruled out: SIGKILL (all had ended by themselves), the listener's queue (new connections come for 0.4 s and the listener is open for 0.6 s), and a lack of slots (40 of 512 descriptors).

Now the parting of the clients is a part of the loop: it closes the listener, lets clients go, and goes on until the last has left or a second has passed. The test has the rest of a request come after the listener is closed; without the change it gets no answer.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,8 +44,8 @@
 
 const (
 	inboxSize  = 1024
-	sweepEvery = time.Second            // looks for region connections that have idled too long
-	lastWords  = 500 * time.Millisecond // for withdrawals, then for answers, once nothing is owed
+	sweepEvery = time.Second // looks for region connections that have idled too long
+	lastWords  = time.Second // for withdrawals and for clients to part, once nothing is owed
 )
 
 // Node is one scheduler on sockets. Everything below its inbox belongs to the loop.
@@ -77,9 +77,11 @@
 	reserve  int              // slots that those who wait for an answer may not take
 	asked    atomic.Bool      // room has been asked for, and not been made yet
 	panics   int
-	draining atomic.Bool      // no new transactions are taken: health says so
-	calls    int              // withdrawals under way
-	leave    <-chan time.Time // set once nothing is owed; then it is over at the latest
+	draining atomic.Bool     // no new transactions are taken: health says so
+	calls    int             // withdrawals under way
+	leave    <-chan struct{} // set once nothing is owed; closed when it is over at the latest
+	parted   <-chan struct{} // with leave: closed when no client connection is left
+	parting  <-chan struct{} // the same, until the loop has seen that
 }
 
 // Listen opens the client address. Nothing is accepted until Run.
@@ -148,10 +150,14 @@
 		"regions", len(n.cfg.Known.Regions))
 	n.serving.Add(1) // the acceptor counts as one, so that none is added behind the last
 	n.spawn(n.accept)
-	for err == nil && (n.leave == nil || n.calls > 0) {
+	// It goes on until the clients have parted: a request that crosses their parting still
+	// has to be answered, and nobody else reads the inbox.
+	for err == nil && (n.leave == nil || n.parting != nil || n.calls > 0) {
 		select {
 		case <-n.leave:
 			return nil
+		case <-n.parting:
+			n.parting = nil
 		case m := <-n.inbox:
 			err = n.handle(m)
 		case <-sweep.C:
@@ -178,21 +184,32 @@
 	}
 }
 
-// close gives everything back: the listener, the watch, and the connections, which
-// first get a moment to write what was answered.
-func (n *Node) close() {
+// part asks all clients to go once they have their answers, and says when it is over at
+// the latest.
+func (n *Node) part() {
+	if n.leave != nil {
+		return
+	}
+	leave, parted := make(chan struct{}), make(chan struct{})
+	n.leave, n.parted, n.parting = leave, parted, parted
+	time.AfterFunc(lastWords, func() { close(leave) })
 	n.listener.Close()
-	written := make(chan struct{})
-	go func() {
-		n.serving.Wait()
-		close(written)
-	}()
 	for c := range n.clients {
 		c.release()
 	}
+	go func() {
+		n.serving.Wait()
+		close(parted)
+	}()
+}
+
+// close gives everything back: the listener, the watch, and the connections, which
+// first get a moment to write what was answered.
+func (n *Node) close() {
+	n.part()
 	select {
-	case <-written:
-	case <-time.After(lastWords):
+	case <-n.parted:
+	case <-n.leave:
 	}
 	n.end()
 	n.log.Info("stopped")
@@ -201,7 +218,9 @@
 func (n *Node) handle(m any) error {
 	switch m := m.(type) {
 	case opened:
-		n.clients[m.client] = true
+		if n.clients[m.client] = true; n.leave != nil {
+			m.client.release()
+		}
 	case submission:
 		// The last slots are for callbacks: without them nothing that runs would end.
 		if len(n.callers) >= cap(n.slots)-n.reserve {
@@ -293,9 +312,7 @@
 			c.release()
 		}
 	case scheduler.Exit:
-		if n.leave == nil {
-			n.leave = time.After(lastWords)
-		}
+		n.part()
 	case scheduler.Log:
 		level := slog.LevelInfo
 		if e.Warn {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -677,6 +677,44 @@
 	}
 }
 
+// A stopping node owes nothing and has closed its listener, when the rest of a request comes
+// on a connection that it has. Somebody must still answer it.
+func TestRequestCrossesTheEnd(t *testing.T) {
+	w := newWorld(t, 0, "r1")
+	conn, err := net.Dial("tcp", w.node.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	read := http1.NewReader(conn)
+	exchange := func(text string) (*http1.Response, error) {
+		if _, err := io.WriteString(conn, text); err != nil {
+			return nil, err
+		}
+		return read.Response()
+	}
+	if _, err := exchange("GET /_health HTTP/1.1\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	w.node.Stop()
+	if _, err := io.WriteString(conn, "POST /post/7 HTTP/1.1\r\nX-Lane: post\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		c, err := net.Dial("tcp", w.node.Addr().String())
+		if err != nil {
+			break // nothing new is taken: it ends
+		}
+		if c.Close(); time.Now().After(end) {
+			t.Fatal("the node goes on listening")
+		}
+	}
+	r, err := exchange("X-Org: sahel\r\nX-Txn: a1\r\nX-Remaining-Ms: 900\r\nContent-Length: 0\r\n\r\n")
+	if err != nil || r.Status != 503 || !r.Close {
+		t.Errorf("got %v, %v", r, err)
+	}
+}
+
 // Connections to regions stay within their part of the descriptors: idle ones go
 // first, and then nothing is sent, which is no crash.
 func TestRegionConnectionsAreBounded(t *testing.T) {
