Send nothing to a region that may have been told to drain unheard

Need: a change counts as told 6 s after it, heard or not. A scheduler that is cut off from discovery, or whose calls fail, went on sending to all regions of its last table for as long as that took. It was found by reading: nothing in the module knew how old its list was.

Now the module does (outdated, in estimates.go). What discovery said last holds for 6 s; after that a region is used only if a job that it took left less than 6 s ago, as one that drains takes none.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -559,7 +559,7 @@
 	if !d.mayRepeat(j, w) {
 		return false
 	}
-	if w.entry.Status != Ready {
+	if w.entry.Status != Ready || d.outdated(w) {
 		return false
 	}
 	if !d.coldAllows(j, w) {
@@ -682,13 +682,12 @@
 		return
 	}
 	w := a.worker
-	a.started, a.noted = at, at
+	a.started, a.noted, w.took = at, at, max(w.took, a.sent)
 	w.unstarted--
 	d.touch(w)
 	if !d.set.TellsStart {
 		d.filled(w, d.atWork(w))
-	}
-	if d.set.TellsStart {
+	} else {
 		d.waited(w, float64(at-a.sent))
 		if !a.overdue {
 			d.fitted(a, true)
@@ -751,7 +750,7 @@
 		if w.lost {
 			w.cold, w.lost = d.now, false // back, so it started anew: cold before the list says so
 		}
-		w.fails = 0
+		w.fails, w.took = 0, max(w.took, a.sent)
 		d.erred(w, 0, e.Report)
 		w.alive(d.now)
 		d.learnRun(a)
@@ -818,7 +817,7 @@
 
 // usable tells whether a worker may be given work at all.
 func (d *Dispatcher) usable(w *worker) bool {
-	if w.entry.Status != Ready || d.now < w.blocked {
+	if w.entry.Status != Ready || d.outdated(w) || d.now < w.blocked {
 		return false
 	}
 	if d.set.TellsStart && w.unstarted > 0 || d.queued(w) {
@@ -1039,8 +1038,9 @@
 		}
 		return
 	}
+	d.listedAt = d.now + d.set.AskWithin - d.set.ToldWithin // of a start, see outdated
 	if e.Scope != ListCached && d.set.AskForList {
-		d.askFails = 0
+		d.askFails, d.listedAt = 0, d.now
 		d.askAt = d.now + Micros(renewAfter*float64(d.set.AskWithin))
 	}
 	if e.Scope != ListDelta {
--- a/estimates.go
+++ b/estimates.go
@@ -360,6 +360,14 @@
 	return Micros(d.random.chance() * longest)
 }
 
+// outdated tells whether a worker may have been told to drain unheard (rule 3). What there is
+// to tell counts as told ToldWithin later, so what was heard last holds so long, and a job of
+// ours that a worker took shows as long that it did not drain. A start counts as told what is
+// new only when it has not asked for AskWithin.
+func (d *Dispatcher) outdated(w *worker) bool {
+	return d.set.AskForList && d.set.ToldWithin > 0 && d.now-max(d.listedAt, w.took) > d.set.ToldWithin
+}
+
 // callTime is what a call costs the list's service, about.
 const callTime = 50 * second / 1000
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -86,6 +86,7 @@
 
 // Listen opens the client address. Nothing is accepted until Run.
 func Listen(cfg Config, log *slog.Logger) (*Node, error) {
+	cfg.Settings.Module.ToldWithin = scheduler.Micros(toldWithin / time.Microsecond)
 	sched, err := scheduler.New(cfg.Settings, cfg.Seed)
 	if err != nil {
 		return nil, err
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -24,6 +24,9 @@
 	// dead watch must be found out, and a new one opened, well within these.
 	silentFor = 3 * time.Second
 
+	// toldWithin is how long after a change it counts as told, whether it arrived or not.
+	toldWithin = 6 * time.Second
+
 	longestLine = 4 << 20 // bytes of one object
 )
 
--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -157,3 +157,13 @@
 		t.Errorf("took %v", took)
 	}
 }
+
+// A change counts as told after a while, heard or not. The module has to know, and a watch
+// that fell silent has to be found out before.
+func TestModuleKnowsWhenChangesCountAsTold(t *testing.T) {
+	w := newWorld(t, 0, "r1")
+	within := time.Duration(w.node.cfg.Settings.Module.ToldWithin) * time.Microsecond
+	if within <= silentFor {
+		t.Errorf("changes count as told after %v, silence shows after %v", within, silentFor)
+	}
+}
--- a/state.go
+++ b/state.go
@@ -53,6 +53,7 @@
 	token                       uint64
 	askAt                       Micros
 	askFails                    int
+	listedAt                    Micros // when discovery last said what there is, or nothing new
 	logged                      Micros
 	panicking                   bool
 }
@@ -136,6 +137,7 @@
 	wait      waits
 	crowd     *crowd // of its zone and kind; nil: not looked up yet
 	sign      Micros // last sign of life
+	took      Micros // when the latest job left that it took: it did not drain then
 	suspect   bool
 	trial     Micros  // when a suspect may be tried again
 	gone      Micros  // since when the list has it gone; 0: it has not
