Count a first try's aim from its arrival where clients mark their repeats

Clients give up early there, and arrive (dispatcher.go) took what a try lacks of its class's deadline as time that had passed: its aim was over as it came. Their repeats, at once, went the same way.

Now the mark that the settings promise (marks_retry, X-Resent; retry on the simulator's wire) tells: an unmarked first try counts from its arrival.

Tests: module, wire, node.

--- a/api.go
+++ b/api.go
@@ -83,9 +83,11 @@
 	MaxRetryAfter  Micros // longest advice to wait that clients obey; 0: none
 	ConnectTimeout Micros
 
-	TellsStart bool   // workers tell when a job starts
-	Progress   Micros // workers tell a running job's progress this often; 0: never
-	Reports    bool   // answers carry load reports
+	TellsStart   bool // workers tell when a job starts
+	MarksRepeats bool // clients mark the tries after the first
+
+	Progress Micros // workers tell a running job's progress this often; 0: never
+	Reports  bool   // answers carry load reports
 
 	CrossZonePrice float64 // of an attempt that leaves the zone, in mean jobs' worth
 }
@@ -115,7 +117,7 @@
 
 // The kinds of events, with the fields that each uses.
 const (
-	JobArrived   EventKind = iota // Job, Class, Tenant, Patience, Work, Slots
+	JobArrived   EventKind = iota // Job, Class, Tenant, Patience, Repeat, Work, Slots
 	AttemptEnded                  // Job, Attempt, Worker, Outcome, Final, Report
 	AttemptNote                   // Job, Attempt, Worker, Note, Value
 	StreamBegan                   // Job, Attempt, Worker
@@ -182,6 +184,7 @@
 	Class    int
 	Tenant   int
 	Patience Micros  // time until the client abandons this try
+	Repeat   bool    // the client says that it tried before
 	Work     Micros  // expected work on a standard core; 0: unknown
 	Slots    float64 // slots (or memory units, if more) that the job takes
 	Worker   WorkerID
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -135,10 +135,8 @@
 	} else {
 		j.work = d.unhinted(st, float64(c.Aim))
 	}
-	// A repeat by the client counts from its first try: what is missing of the
-	// deadline has passed already.
-	begun := j.giveUp - c.Deadline
-	j.aim = min(begun+c.Aim+Micros(c.Stretch*j.work), begun+c.Deadline)
+	begun := d.begunAt(j, e.Repeat)
+	j.aim = min(begun+c.Aim+Micros(c.Stretch*j.work), j.giveUp)
 	d.jobs[j.id] = j
 	d.retries = min(d.retries+retryRatio, retryBurst)
 	st.arrived++
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -973,3 +973,28 @@
 	b.now += 2 * second
 	b.want(b.arrive(2, 0), Send, 0)
 }
+
+// Some clients give up early, and bring less patience to their first try. It is not lost for
+// that; only a repeat has used up what is missing.
+func TestFirstTryWithLittlePatienceIsNoRepeat(t *testing.T) {
+	for name, c := range map[string]struct{ many, marks, repeat, served bool }{
+		"a first try":         {many: true, marks: true, served: true},
+		"a repeat":            {many: true, marks: true, repeat: true},
+		"nobody can tell":     {many: true},
+		"marked all the same": {many: true, repeat: true},
+		"few dispatchers":     {marks: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := testSettings()
+			if s.MarksRepeats = c.marks; c.many {
+				blind(&s)
+				s.Balancers = 80
+			}
+			b := newBench(t, s, ready(1, 0))
+			out := b.do(Event{Kind: JobArrived, Job: 1, Class: 2, Patience: 2 * second, Repeat: c.repeat, Slots: 1})
+			if served := len(find(out, Send)) == 1; served != c.served {
+				t.Errorf("served: %v, want %v", served, c.served)
+			}
+		})
+	}
+}
--- a/estimates.go
+++ b/estimates.go
@@ -85,6 +85,17 @@
 	d.book(a, 1)
 }
 
+// begunAt is when the client's first try of a job began. A repeat counts from there: what is
+// missing of the deadline has passed already. A first try may bring less patience, too, and
+// would seem lost as it comes; where clients mark their repeats, it can be told. A few
+// dispatchers see overload themselves, and such a job is the first to turn away then.
+func (d *Dispatcher) begunAt(j *job, repeat bool) Micros {
+	if d.set.MarksRepeats && !repeat && d.blind() {
+		return d.now
+	}
+	return j.giveUp - d.set.Classes[j.class].Deadline
+}
+
 // quota is this dispatcher's part of a tenant's quota, in jobs a second.
 func (d *Dispatcher) quota(tenant int) float64 {
 	if tenant >= len(d.set.Tenants) {
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -234,7 +234,7 @@
 	const mostMs = 1 << 40 // keeps the sum from running over
 	s := scheduler.Submitted{Caller: scheduler.Caller(lastCaller.Add(1)), ID: id,
 		Class: class(r), Tenant: r.Header.Get("X-Org"), Deadline: at + scheduler.Micros(min(ms, mostMs))*1000,
-		Slots: slots, Payload: &payload{method: r.Method, target: r.Target,
+		Slots: slots, Repeat: r.Header.Get("X-Resent") == "1", Payload: &payload{method: r.Method, target: r.Target,
 			key: r.Header.Get("Idempotency-Key"), body: r.Body}}
 	n.post(submission{c, s})
 	next = c.begin()
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -677,6 +677,29 @@
 	}
 }
 
+// A client's mark of a repeat goes on with its job.
+func TestRepeatsAreMarked(t *testing.T) {
+	for mark, want := range map[string]bool{"": false, "X-Resent: 1\r\n": true, "X-Resent: 0\r\n": false} {
+		n, err := Listen(Config{Listen: "127.0.0.1:0", Settings: parsed(t)}, slog.New(slog.DiscardHandler))
+		if err != nil {
+			t.Fatal(err)
+		}
+		ours, theirs := net.Pipe()
+		n.slots <- struct{}{}
+		n.serving.Add(1)
+		go newClient(n, ours).serve()
+		text := "POST /post/7 HTTP/1.1\r\nX-Txn: a1\r\nX-Lane: post\r\nX-Remaining-Ms: 900\r\n" + mark + "\r\n"
+		if _, err := io.WriteString(theirs, text); err != nil {
+			t.Fatal(err)
+		}
+		if m, is := (<-n.inbox).(submission); !is || m.Repeat != want {
+			t.Errorf("%q: got %+v", mark, m)
+		}
+		theirs.Close()
+		n.close()
+	}
+}
+
 // A stopping node owes nothing and has closed its listener, when the rest of a request comes
 // on a connection that it has. Somebody must still answer it.
 func TestRequestCrossesTheEnd(t *testing.T) {
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -35,7 +35,8 @@
 		Class, Tenant string
 		Deadline      Micros // the caller waits until then
 		Slots         float64
-		Payload       any // handed back with each routed task, unread
+		Repeat        bool // the caller says that it tried before
+		Payload       any  // handed back with each routed task, unread
 	}
 	// CallerLeft says that nobody waits for the answer any more.
 	CallerLeft struct{ Caller Caller }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -302,7 +302,7 @@
 		s.byCaller[e.Caller], s.byID[e.ID], s.byJob[t.job] = t, t, t
 		heap.Push(&s.due, due{at: t.deadline, caller: t.caller})
 		s.tell(dahliaford.Event{Kind: dahliaford.JobArrived, Job: t.job, Class: class, Tenant: tenant,
-			Patience: max(e.Deadline-s.now, 0), Slots: e.Slots})
+			Patience: max(e.Deadline-s.now, 0), Slots: e.Slots, Repeat: e.Repeat})
 		return
 	}
 	s.emit(answer)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -49,6 +49,9 @@
 		Name  string  `json:"name"`
 		Quota float64 `json:"quota_per_s"`
 	} `json:"customers"`
+	Clients struct {
+		MarksRetry bool `json:"marks_retry"`
+	} `json:"clients"`
 	FamilyInfo struct {
 		ClassKind    []int     `json:"class_kind"`
 		ClassStretch []float64 `json:"class_stretch"`
@@ -111,7 +114,7 @@
 		MayCancel: p.Limits.Cancel, MayDuplicate: p.Limits.MayDuplicate,
 		MayTellPeers: p.Limits.Peers, ConnectTimeout: dahliaford.Micros(p.Limits.ConnectTimeout),
 		TellsStart: p.FamilyInfo.TellsStart, Progress: dahliaford.Micros(p.FamilyInfo.Progress),
-		CrossZonePrice: p.Prices.CrossZone,
+		CrossZonePrice: p.Prices.CrossZone, MarksRepeats: p.Clients.MarksRetry,
 	}
 	if p.Limits.RetryAfter {
 		s.MaxRetryAfter = dahliaford.Micros(p.Limits.MaxRetryAfter)
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -21,6 +21,7 @@
 	class    int
 	tenant   int
 	patience int64
+	retry    bool
 	estimate int64
 	needs    float64
 	memory   float64
@@ -119,6 +120,8 @@
 			m.patience = in.Int64()
 		case "estimate":
 			m.estimate = in.Int64()
+		case "retry":
+			m.retry = in.Bool()
 		case "needs":
 			m.needs = in.Float64()
 		case "memory":
@@ -256,6 +259,7 @@
 	case "knock":
 		e.Kind, e.Class, e.Tenant = dahliaford.JobArrived, m.class, m.tenant
 		e.Patience, e.Work = dahliaford.Micros(m.patience), dahliaford.Micros(m.estimate)
+		e.Repeat = m.retry
 		e.Slots = max(m.needs, m.memory)
 	case "completed":
 		e.Kind, e.Final = dahliaford.AttemptEnded, m.terminal
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -155,6 +155,20 @@
 	}
 }
 
+// The wire's mark of a repeat reaches the module.
+func TestRepeatsAreMarked(t *testing.T) {
+	for mark, want := range map[string]bool{`"retry":true`: true, `"retry":false`: false, `"retry":null`: false} {
+		_, messages, err := decodeBatch([]byte(`{"t":1,"inbox":[{"knock":{"who":2,"op_id":1,`+mark+`}}]}`), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		var e dahliaford.Event
+		if !messages[0].event(&e) || e.Repeat != want {
+			t.Errorf("%s: got %+v", mark, e)
+		}
+	}
+}
+
 // A breakdown of the decision code is reported for the instance that it hit.
 func TestPanicIsReported(t *testing.T) {
 	h := NewHost()
