--- a/blind_test.go
+++ b/blind_test.go
@@ -197,3 +197,124 @@
 		t.Errorf("a wait of %.1f s is expected where a job waited for seconds", got/second)
 	}
 }
+
+// coldFleet plays many dispatchers of which none tells another anything, while three in five
+// workers start anew: traffic is dealt unevenly, all hear of the starts at times of their own,
+// and some dispatchers start themselves. It returns the most work that a worker was sent within
+// any window in which it falls over, as a part of the limit on all dispatchers together. Only
+// where two thirds came from dispatchers that had been told of the start does it count.
+func coldFleet(t *testing.T, dispatchers, workers int, seed uint64) float64 {
+	const work, slots, tick, length = 400_000, 2, second / 50, 6 * second
+	set := func(s *Settings) {
+		blind(s)
+		s.Cold, s.ColdFrom, s.OverloadFactor, s.Fall = 8*second, 0.3, 4, 2*second
+		s.Classes[0].Aim = second / 5 // half of what a job takes: nobody tells that at a start
+	}
+	chance := random(seed)
+	list := fleetList(workers)
+	for i := range list {
+		list[i].Cell = 0
+	}
+	all := tier(t, dispatchers, list, alternating, set)
+	begin := all[0].now
+	started := map[WorkerID]bool{}
+	for i := range list {
+		if chance.chance() < 0.6 {
+			list[i].Started, started[list[i].Worker] = begin, true
+		}
+	}
+	rate, told := make([]float64, dispatchers), make([]Micros, dispatchers)
+	again := make([]Micros, dispatchers)
+	for i, b := range all {
+		for _, e := range list {
+			b.slots(e.Worker, slots)
+		}
+		rate[i], told[i] = 1.2, begin+Micros(chance.chance()*2*second)
+		if chance.chance() < 0.15 {
+			rate[i] = 6
+		}
+		if chance.chance() < 0.3 {
+			again[i] = begin + Micros(chance.chance()*length)
+		}
+	}
+	type run struct {
+		by      int
+		job     JobID
+		attempt int
+		ends    Micros
+	}
+	var running []run
+	type send struct {
+		at   Micros
+		told bool
+	}
+	sent := map[WorkerID][]send{}
+	take := func(i int, actions []Action, now Micros) {
+		for _, a := range find(actions, Send) {
+			if started[a.Worker] {
+				sent[a.Worker] = append(sent[a.Worker], send{now, told[i] == 0})
+			}
+			all[i].do(Event{Kind: AttemptNote, Job: a.Job, Attempt: a.Attempt, Note: NoteStarted})
+			running = append(running, run{i, a.Job, a.Attempt, now + work})
+		}
+	}
+	job := JobID(0)
+	for now := begin; now < begin+length; now += tick {
+		for i, b := range all {
+			if again[i] != 0 && again[i] <= now {
+				again[i], told[i] = 0, 0
+				fresh := member(t, dispatchers, i, list, i%2, set)
+				fresh.now = now
+				fresh.d, _ = New(fresh.d.set, uint64(i)+seed)
+				fresh.do(Event{Kind: Began})
+				fresh.do(Event{Kind: ListChanged, Scope: ListCached, Workers: list})
+				*b = *fresh
+			}
+			if told[i] != 0 && told[i] <= now {
+				told[i] = 0
+				b.now = now
+				take(i, b.do(Event{Kind: ListChanged, Workers: list}), now)
+			}
+			take(i, b.pass(now-b.now), now)
+			if chance.chance() < rate[i]*float64(tick)/second {
+				job++
+				take(i, b.do(Event{Kind: JobArrived, Job: job, Slots: 1, Patience: 6 * second}), now)
+			}
+		}
+		var on []run
+		for _, r := range running {
+			if r.ends <= now {
+				take(r.by, all[r.by].end(r.job, r.attempt, OK), now)
+			} else {
+				on = append(on, r)
+			}
+		}
+		running = on
+	}
+	worst := 0.0
+	for _, all := range sent {
+		for from := range all {
+			n, knew := 0, 0
+			for to := from; to < len(all) && all[to].at-all[from].at < 2*second; to++ {
+				if n++; all[to].told {
+					knew++
+				}
+			}
+			warm := 0.3 + 0.7*float64(all[from].at-begin)/(8*second)
+			if 3*knew >= 2*n {
+				worst = max(worst, float64(n)*work/(4*slots*warm*2*second))
+			}
+		}
+	}
+	return worst
+}
+
+func TestNoColdWorkerIsPushedOverByAllTogether(t *testing.T) {
+	for seed := range uint64(8) {
+		if worst := coldFleet(t, 300, 200, seed+1); worst > 1 {
+			t.Errorf("seed %d: a cold worker got %.2f of the limit", seed+1, worst)
+		} else {
+			t.Logf("seed %d: %.2f", seed+1, worst)
+		}
+	}
+}
