--- a/internal/scheduler/size_test.go
+++ b/internal/scheduler/size_test.go
@@ -64,13 +64,17 @@
 		}
 		return least
 	}
-	if small, large := took(3, 10), took(80, 60); large > 4*small {
-		t.Errorf("400 jobs take %v of one of 3 with 10 regions, and %v of one of 80 with 60", small, large)
+	small := took(3, 10)
+	for _, size := range [][2]int{{80, 60}, {300, 200}} {
+		if large := took(size[0], size[1]); large > 4*small {
+			t.Errorf("400 jobs take %v of one of 3 with 10 regions, and %v of one of %d with %d", small, large,
+				size[0], size[1])
+		}
 	}
 }
 
 func BenchmarkJob(b *testing.B) {
-	for _, size := range [][2]int{{3, 10}, {80, 60}} {
+	for _, size := range [][2]int{{3, 10}, {80, 60}, {300, 200}} {
 		b.Run(fmt.Sprintf("%d schedulers, %d regions", size[0], size[1]), func(b *testing.B) {
 			s := fleetOf(b, size[0], size[1])
 			b.ReportAllocs()
