--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -157,8 +157,10 @@
 
 // The wire's mark of a repeat reaches the module.
 func TestRepeatsAreMarked(t *testing.T) {
-	for mark, want := range map[string]bool{`"retry":true`: true, `"retry":false`: false, `"retry":null`: false} {
-		_, messages, err := decodeBatch([]byte(`{"t":1,"inbox":[{"knock":{"who":2,"op_id":1,`+mark+`}}]}`), nil)
+	marks := map[string]bool{`"retry":true`: true, `"retry":false`: false, `"retry":null`: false}
+	for mark, want := range marks {
+		line := `{"t":1,"inbox":[{"knock":{"who":2,"op_id":1,` + mark + `}}]}`
+		_, messages, err := decodeBatch([]byte(line), nil)
 		if err != nil {
 			t.Fatal(err)
 		}
