Keep one channel for the clients' parting, and make piped clients in one place of the tests

Reread of the change. The loop's parting was held in two fields of which one told whether the other had been seen; now it is one, nil once seen. Three tests made a piped client by the same lines. MarksRepeats stands with what else clients do.

--- a/api.go
+++ b/api.go
@@ -81,13 +81,12 @@
 	MayDuplicate   bool // two attempts of a job may be out together
 	MayTellPeers   bool
 	MaxRetryAfter  Micros // longest advice to wait that clients obey; 0: none
+	MarksRepeats   bool   // clients mark their tries after the first
 	ConnectTimeout Micros
 
-	TellsStart   bool // workers tell when a job starts
-	MarksRepeats bool // clients mark the tries after the first
-
-	Progress Micros // workers tell a running job's progress this often; 0: never
-	Reports  bool   // answers carry load reports
+	TellsStart bool   // workers tell when a job starts
+	Progress   Micros // workers tell a running job's progress this often; 0: never
+	Reports    bool   // answers carry load reports
 
 	CrossZonePrice float64 // of an attempt that leaves the zone, in mean jobs' worth
 }
--- a/blind_test.go
+++ b/blind_test.go
@@ -212,9 +212,6 @@
 	}
 	chance := random(seed)
 	list := fleetList(workers)
-	for i := range list {
-		list[i].Cell = 0
-	}
 	all := tier(t, dispatchers, list, alternating, set)
 	begin := all[0].now
 	started := map[WorkerID]bool{}
@@ -263,12 +260,10 @@
 		for i, b := range all {
 			if again[i] != 0 && again[i] <= now {
 				again[i], told[i] = 0, 0
-				fresh := member(t, dispatchers, i, list, i%2, set)
-				fresh.now = now
-				fresh.d, _ = New(fresh.d.set, uint64(i)+seed)
-				fresh.do(Event{Kind: Began})
-				fresh.do(Event{Kind: ListChanged, Scope: ListCached, Workers: list})
-				*b = *fresh
+				b.now = now
+				b.d, _ = New(b.d.set, uint64(i)+seed)
+				b.do(Event{Kind: Began})
+				b.do(Event{Kind: ListChanged, Scope: ListCached, Workers: list})
 			}
 			if told[i] != 0 && told[i] <= now {
 				told[i] = 0
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,8 +80,7 @@
 	draining atomic.Bool     // no new transactions are taken: health says so
 	calls    int             // withdrawals under way
 	leave    <-chan struct{} // set once nothing is owed; closed when it is over at the latest
-	parted   <-chan struct{} // with leave: closed when no client connection is left
-	parting  <-chan struct{} // the same, until the loop has seen that
+	parted   <-chan struct{} // with leave: closed when no client connection is left; nil once that was seen
 }
 
 // Listen opens the client address. Nothing is accepted until Run.
@@ -153,12 +152,12 @@
 	n.spawn(n.accept)
 	// It goes on until the clients have parted: a request that crosses their parting still
 	// has to be answered, and nobody else reads the inbox.
-	for err == nil && (n.leave == nil || n.parting != nil || n.calls > 0) {
+	for err == nil && (n.leave == nil || n.parted != nil || n.calls > 0) {
 		select {
 		case <-n.leave:
 			return nil
-		case <-n.parting:
-			n.parting = nil
+		case <-n.parted:
+			n.parted = nil
 		case m := <-n.inbox:
 			err = n.handle(m)
 		case <-sweep.C:
@@ -192,7 +191,7 @@
 		return
 	}
 	leave, parted := make(chan struct{}), make(chan struct{})
-	n.leave, n.parted, n.parting = leave, parted, parted
+	n.leave, n.parted = leave, parted
 	time.AfterFunc(lastWords, func() { close(leave) })
 	n.listener.Close()
 	for c := range n.clients {
@@ -207,10 +206,11 @@
 // close gives everything back: the listener, the watch, and the connections, which
 // first get a moment to write what was answered.
 func (n *Node) close() {
-	n.part()
-	select {
-	case <-n.parted:
-	case <-n.leave:
+	if n.part(); n.parted != nil {
+		select {
+		case <-n.parted:
+		case <-n.leave:
+		}
 	}
 	n.end()
 	n.log.Info("stopped")
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -633,14 +633,11 @@
 func TestCutOffCrossesTheRequest(t *testing.T) {
 	w := newWorld(t, 0, "r1")
 	for rank, want := range map[int32]string{cutOff: "503 close", stranger: "200", customer: "200"} {
-		ours, theirs := net.Pipe()
-		c := newClient(w.node, ours)
+		c, theirs := piped(w.node)
 		c.rank.Store(rank)
 		if rank == customer {
 			c.evict()
 		}
-		w.node.slots <- struct{}{}
-		w.node.serving.Add(1)
 		go c.serve()
 		go io.WriteString(theirs, "GET /_health HTTP/1.1\r\n\r\n")
 		r, err := http1.NewReader(theirs).Response()
@@ -658,15 +655,20 @@
 	}
 }
 
+// piped is a client connection as the acceptor makes it, not served yet, and its other end.
+func piped(n *Node) (*client, net.Conn) {
+	ours, theirs := net.Pipe()
+	n.slots <- struct{}{}
+	n.serving.Add(1)
+	return newClient(n, ours), theirs
+}
+
 // A request that crosses the node's wish to close the connection is answered.
 func TestRequestCrossesTheClose(t *testing.T) {
 	w := newWorld(t, 0, "r1")
-	ours, theirs := net.Pipe()
+	c, theirs := piped(w.node)
 	defer theirs.Close()
-	c := newClient(w.node, ours)
 	c.release()
-	w.node.slots <- struct{}{}
-	w.node.serving.Add(1)
 	go c.serve()
 	if _, err := io.WriteString(theirs, "GET /_health HTTP/1.1\r\n\r\n"); err != nil {
 		t.Fatal(err)
@@ -684,10 +686,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		ours, theirs := net.Pipe()
-		n.slots <- struct{}{}
-		n.serving.Add(1)
-		go newClient(n, ours).serve()
+		c, theirs := piped(n)
+		go c.serve()
 		text := "POST /post/7 HTTP/1.1\r\nX-Txn: a1\r\nX-Lane: post\r\nX-Remaining-Ms: 900\r\n" + mark + "\r\n"
 		if _, err := io.WriteString(theirs, text); err != nil {
 			t.Fatal(err)
