Send nothing before discovery was heard, and take no accepted job as proof against a drain

Cause, by reading and by a probe. A change of the list counts as told 6 s after it, heard or not. Three lines let sends go on past that: - dispatcher.go, listed: a start trusted the table in `known`, of whatever age, for ask_within (10 s), and estimates.go, turn, put its first call off by up to 5 s. A change from before the start is told long before both are over. - estimates.go, outdated: a job that a region took renewed the belief in it for 6 s. Nothing in the protocol says that a region that drains turns jobs away, so a watch that fell silent (a zone cut off) left jobs going to a draining region for as long as it took them.

Change: what a start knew lets nothing go until discovery is heard; `took` is gone; health says 503 until then, for 10 s at most; the first call comes within 2 s by chance, one after a loss within the time for which what was heard still holds.

--- a/copy.go
+++ b/copy.go
@@ -150,7 +150,7 @@
 		e := &w.entry
 		f.Num(int64(e.Zone), int64(e.Cell), int64(e.Kind), int64(e.Status), int64(e.Started))
 		f.Num(int64(w.unstarted), int64(w.capAt), int64(w.blocked), int64(w.gone),
-			int64(w.sign), int64(w.took),
+			int64(w.sign),
 			int64(w.trial), int64(w.fails), int64(w.erredAt), int64(w.downUntil), int64(w.cold), int64(w.budgetAt),
 			int64(w.told.used), int64(w.told.waiting), int64(len(w.live)))
 		f.Real(w.used, w.cap, w.slots, w.pace.work, w.pace.time, w.errors, w.budget, w.place, w.tilt,
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -557,7 +557,7 @@
 	if !d.mayRepeat(j, w) {
 		return false
 	}
-	if w.entry.Status != Ready || d.outdated(w) {
+	if w.entry.Status != Ready || d.outdated() {
 		return false
 	}
 	if !d.coldAllows(j, w) {
@@ -680,7 +680,7 @@
 		return
 	}
 	w := a.worker
-	a.started, a.noted, w.took = at, at, max(w.took, a.sent)
+	a.started, a.noted = at, at
 	w.unstarted--
 	d.touch(w)
 	if !d.set.TellsStart {
@@ -748,7 +748,7 @@
 		if w.lost {
 			w.cold, w.lost = d.now, false // back, so it started anew: cold before the list says so
 		}
-		w.fails, w.took = 0, max(w.took, a.sent)
+		w.fails = 0
 		d.erred(w, 0, e.Report)
 		w.alive(d.now)
 		d.learnRun(a)
@@ -815,7 +815,7 @@
 
 // usable tells whether a worker may be given work at all.
 func (d *Dispatcher) usable(w *worker) bool {
-	if w.entry.Status != Ready || d.outdated(w) || d.now < w.blocked {
+	if w.entry.Status != Ready || d.outdated() || d.now < w.blocked {
 		return false
 	}
 	if d.set.TellsStart && w.unstarted > 0 || d.queued(w) {
@@ -1031,13 +1031,12 @@
 			wait := Micros(float64(second) / 2 * (1 + d.random.chance()))
 			wait = min(wait<<min(d.askFails, 6), d.set.AskWithin/3)
 			d.askFails++
-			d.askAt = d.now + wait + d.turn(float64(min(d.askFails, 4)))
+			d.askAt = d.now + wait + d.turn(1)
 			d.log("the worker list does not answer: the last one is used")
 		}
 		return
 	}
-	d.listedAt = d.now + d.set.AskWithin - d.set.ToldWithin // of a start, see outdated
-	if e.Scope != ListCached && d.set.AskForList {
+	if e.Scope != ListCached && d.set.AskForList { // what a start knew may be of any age
 		d.askFails, d.listedAt = 0, d.now
 		d.askAt = d.now + Micros(renewAfter*float64(d.set.AskWithin))
 	}
--- a/estimates.go
+++ b/estimates.go
@@ -359,24 +359,24 @@
 	return s.weighted(prior)
 }
 
-// turn is a wait by chance before the list is asked for, so long that all may do so with the
-// list's service keeping up: calls that wait too long there fail, and cost it as much. It ends
-// in half the time after which a change counts as told unasked, which leaves the other half
-// for the call, or for another one after it failed.
+// turn is a wait by chance before the list is asked for, so that not all ask at once: calls that
+// wait too long there fail, and cost it as much. While what was heard last holds there is time
+// until then, less what a call may take. Otherwise nothing can be sent, and it is short.
 func (d *Dispatcher) turn(longer float64) Micros {
 	if !d.set.LargeFleet() {
 		return 0
 	}
-	longest := min(longer*callTime*float64(d.set.Balancers), float64(d.set.AskWithin)/2)
-	return Micros(d.random.chance() * longest)
+	left := float64(d.listedAt + d.set.ToldWithin - d.now - second)
+	longest := max(left, min(callTime*float64(d.set.Balancers), float64(d.set.AskWithin)/5))
+	return Micros(d.random.chance() * longer * longest)
 }
 
-// outdated tells whether a worker may have been told to drain unheard (rule 3). What there is
-// to tell counts as told ToldWithin later, so what was heard last holds so long, and a job of
-// ours that a worker took shows as long that it did not drain. A start counts as told what is
-// new only when it has not asked for AskWithin.
-func (d *Dispatcher) outdated(w *worker) bool {
-	return d.set.AskForList && d.set.ToldWithin > 0 && d.now-max(d.listedAt, w.took) > d.set.ToldWithin
+// outdated tells whether any worker may have been told to drain unheard (rule 3). What there
+// is to tell counts as told ToldWithin later, so what was heard last holds so long, and the list
+// that a start knew not at all. That a worker takes jobs proves nothing: one that drains may.
+func (d *Dispatcher) outdated() bool {
+	return d.set.AskForList && d.set.ToldWithin > 0 &&
+		(d.listedAt == 0 || d.now-d.listedAt > d.set.ToldWithin)
 }
 
 // callTime is what a call costs the list's service, about.
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -169,7 +169,7 @@
 	switch {
 	case path == healthPath:
 		status := 200
-		if n.draining.Load() {
+		if n.draining.Load() || !n.ready() {
 			status = 503
 		}
 		if r.Method != "GET" && r.Method != "HEAD" {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,7 +45,9 @@
 const (
 	inboxSize  = 1024
 	sweepEvery = time.Second // looks for region connections that have idled too long
-	lastWords  = time.Second // for withdrawals and for clients to part, once nothing is owed
+	// readyWithin is the longest from the start until health says that clients may come.
+	readyWithin = 10 * time.Second
+	lastWords   = time.Second // for withdrawals and for clients to part, once nothing is owed
 )
 
 // Node is one scheduler on sockets. Everything below its inbox belongs to the loop.
@@ -78,6 +80,7 @@
 	asked    atomic.Bool      // room has been asked for, and not been made yet
 	panics   int
 	draining atomic.Bool     // no new transactions are taken: health says so
+	heard    atomic.Bool     // discovery has been heard
 	calls    int             // withdrawals under way
 	leave    <-chan struct{} // set once nothing is owed; closed when it is over at the latest
 	parted   <-chan struct{} // with leave: closed when no client connection is left; nil once that was seen
@@ -169,6 +172,10 @@
 	return err
 }
 
+// ready tells whether the front should deal clients here. Nothing is sent before discovery has
+// been heard, so they are better off elsewhere; but not for long, as discovery may be down.
+func (n *Node) ready() bool { return n.heard.Load() || time.Since(n.start) > readyWithin }
+
 // spawn runs a goroutine that ends with the node. A panic in it costs what that
 // goroutine serves, not the process.
 func (n *Node) spawn(f func()) {
@@ -245,6 +252,9 @@
 		n.open--
 	case tableWord:
 		if m.watch == n.watches {
+			if _, lost := m.event.(scheduler.TableLost); !lost {
+				n.heard.Store(true)
+			}
 			return n.step(m.event)
 		}
 	case scheduler.Event:
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -85,6 +85,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	w.node.heard.Store(true)
+	w.node.post(tableWord{1, scheduler.TableRead{}}) // nothing new: what is known holds
 	go func() { w.done <- w.node.Run() }()
 	t.Cleanup(func() {
 		w.node.Stop()
@@ -679,6 +681,31 @@
 	}
 }
 
+// Clients are not dealt to a node that knows no table it may use, unless that lasts.
+func TestHealthWaitsForTheTable(t *testing.T) {
+	n, err := Listen(Config{Listen: "127.0.0.1:0", Settings: parsed(t)}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.close()
+	if n.ready() {
+		t.Error("ready before discovery was heard")
+	}
+	n.timer, n.watches = time.NewTimer(time.Hour), 1
+	n.handle(tableWord{1, scheduler.TableLost{}})
+	if n.ready() {
+		t.Error("ready though discovery did not answer")
+	}
+	n.handle(tableWord{1, scheduler.TableRead{}})
+	if !n.ready() {
+		t.Error("not ready with a table that was heard")
+	}
+	n.heard.Store(false)
+	if n.start = n.start.Add(-2 * readyWithin); !n.ready() {
+		t.Error("never ready without discovery")
+	}
+}
+
 // A client's mark of a repeat goes on with its job.
 func TestRepeatsAreMarked(t *testing.T) {
 	for mark, want := range map[string]bool{"": false, "X-Resent: 1\r\n": true, "X-Resent: 0\r\n": false} {
--- a/state.go
+++ b/state.go
@@ -53,7 +53,7 @@
 	token                       uint64
 	askAt                       Micros
 	askFails                    int
-	listedAt                    Micros // when discovery last said what there is, or nothing new
+	listedAt                    Micros // when discovery last said what there is, or nothing new; 0: never
 	logged                      Micros
 	panicking                   bool
 }
@@ -137,7 +137,6 @@
 	wait      waits
 	crowd     *crowd // of its zone and kind; nil: not looked up yet
 	sign      Micros // last sign of life
-	took      Micros // when the latest job left that it took: it did not drain then
 	suspect   bool
 	trial     Micros  // when a suspect may be tried again
 	gone      Micros  // since when the list has it gone; 0: it has not
