Look at what discovery has told with the first byte in hand, and believe no older word

Causes, by reading; each is held by a test on sockets or of the reducer, seen failing: - A change counts as told once discovery has written it. internal/node/region.go, run, wrote a routed task up to 250 ms after the reducer had decided (connect, queue), whatever lay in the watch's socket, with its reader or in the inbox by then. Now the writer asks (`told.may`) inside the write call, for as long as no byte is out: nothing unread in the socket (a peek), nothing read but not passed on, nothing passed on but not applied, the region not told to leave, what was heard last not too old. It waits for a word on its way and turns back else (`Moot`: the region is not at fault). - scheduler.go, apply, took `s.rev = t.Rev` of any whole list and any line as it came: an address that knows less after a reload, a service that counts anew, or a change said again brought a region back that was told to leave. A word that cannot be read now ends the belief in the table at once, as any region may have been told to leave by it. The module's own question whether the watch lives renewed the belief, too.

--- a/api.go
+++ b/api.go
@@ -121,7 +121,7 @@
 	AttemptNote                   // Job, Attempt, Worker, Note, Value
 	StreamBegan                   // Job, Attempt, Worker
 	ClientGone                    // Job
-	ListChanged                   // Scope, Workers
+	ListChanged                   // Scope, Workers, Age
 	PeerTold                      // Peer, Message
 	TimerRang                     // Token
 	Began                         // sent once, before all else
@@ -162,6 +162,8 @@
 	ListFull                    // the whole list
 	ListCached                  // the whole list as last seen, perhaps stale
 	ListFailed                  // a call failed or the subscription dropped
+	ListUnread                  // the same, with a change that cannot be read
+	ListWarned                  // entries that leave, from elsewhere than the list itself
 )
 
 // Report is the part of a worker's load report that decisions use.
@@ -191,6 +193,7 @@
 	Value    float64
 	Report   Report
 	Workers  []WorkerEntry
+	Age      Micros // how long ago the list was as it is told
 	Peer     int
 	Message  []byte
 	Token    uint64
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -1026,7 +1026,10 @@
 // ---- The worker list
 
 func (d *Dispatcher) listed(e *Event) {
-	if e.Scope == ListFailed {
+	if e.Scope == ListUnread {
+		d.listedAt = 0 // any worker may have been told to drain
+	}
+	if e.Scope == ListFailed || e.Scope == ListUnread {
 		if d.set.AskForList {
 			wait := Micros(float64(second) / 2 * (1 + d.random.chance()))
 			wait = min(wait<<min(d.askFails, 6), d.set.AskWithin/3)
@@ -1036,11 +1039,11 @@
 		}
 		return
 	}
-	if e.Scope != ListCached && d.set.AskForList { // what a start knew may be of any age
-		d.askFails, d.listedAt = 0, d.now
+	if e.Scope < ListCached && d.set.AskForList { // what a start knew may be of any age
+		d.askFails, d.listedAt = 0, d.now-e.Age
 		d.askAt = d.now + Micros(renewAfter*float64(d.set.AskWithin))
 	}
-	if e.Scope != ListDelta {
+	if e.Scope == ListFull || e.Scope == ListCached {
 		for _, w := range d.order {
 			w.entry.Status = Gone
 		}
--- a/internal/explore/planted/planted.go
+++ b/internal/explore/planted/planted.go
@@ -124,8 +124,8 @@
 			Want:  "drains-kept",
 			File:  reducer,
 			Edits: []string{
-				"Kind: s.kinds.of(line.Kind), Status: line.Status,",
-				"Kind: s.kinds.of(line.Kind), Status: max(line.Status, 1) % 2 * line.Status + line.Status / 2,",
+				"Kind: s.kinds.of(r.Kind), Status: r.Status,",
+				"Kind: s.kinds.of(r.Kind), Status: max(r.Status, 1) % 2 * r.Status + r.Status / 2,",
 			},
 		},
 		{
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,8 +65,9 @@
 	sched    *scheduler.Scheduler
 	effects  []scheduler.Effect
 	timer    *time.Timer
-	watch    context.CancelFunc // ends the present watch
-	watches  int                // numbers them
+	told     *told
+	watch    *watch // the present one
+	before   *watch // the one before, until the present one says something
 	clients  map[*client]bool
 	callers  map[scheduler.Caller]*client
 	links    map[string][]*regionConn // by address; idle ones are used latest first
@@ -104,6 +105,11 @@
 	n := &Node{cfg: cfg, log: log, listener: listener, inbox: make(chan any, inboxSize), start: time.Now(),
 		sched: sched, clients: map[*client]bool{}, callers: map[scheduler.Caller]*client{},
 		links: map[string][]*regionConn{}, tasks: map[scheduler.Task]*regionConn{}, mostOpen: usable / regionPart}
+	within := scheduler.Micros(0)
+	if cfg.Settings.Module.AskForList {
+		within = cfg.Settings.Module.ToldWithin
+	}
+	n.told = newTold(cfg.Settings.DrainGrace, within)
 	if n.keptFor = keptFor; cfg.Settings.Module.LargeFleet() {
 		n.keptFor = keptInFleet
 	}
@@ -251,12 +257,7 @@
 	case ended:
 		n.open--
 	case tableWord:
-		if m.watch == n.watches {
-			if _, lost := m.event.(scheduler.TableLost); !lost {
-				n.heard.Store(true)
-			}
-			return n.step(m.event)
-		}
+		return n.watchSaid(m)
 	case scheduler.Event:
 		return n.step(m)
 	case func(): // a look at what the loop owns, for tests
@@ -316,7 +317,10 @@
 	case scheduler.Watch:
 		n.openWatch(e)
 	case scheduler.Retire:
+		n.told.leaves(e.UID, true)
 		n.retire(e.Addr)
+	case scheduler.Admit:
+		n.told.leaves(e.UID, false)
 	case scheduler.Close:
 		n.draining.Store(true)
 		for c := range n.clients {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -85,9 +85,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	w.node.heard.Store(true)
-	w.node.post(tableWord{1, scheduler.TableRead{}}) // nothing new: what is known holds
 	go func() { w.done <- w.node.Run() }()
+	w.node.do(func() { w.node.knows(time.Hour) })
 	t.Cleanup(func() {
 		w.node.Stop()
 		for _, p := range w.parties {
@@ -102,6 +101,24 @@
 	return w
 }
 
+// do has a node's loop do something, and waits for it.
+func (n *Node) do(f func()) {
+	done := make(chan struct{})
+	n.post(func() {
+		defer close(done)
+		f()
+	})
+	<-done
+}
+
+// knows lets what a node knows of the table hold, as if discovery had just said so.
+func (n *Node) knows(span time.Duration) {
+	n.told.mu.Lock()
+	n.told.posted++
+	n.told.mu.Unlock()
+	n.watchSaid(tableWord{n.watch, scheduler.TableRead{At: n.now() + scheduler.Micros(span.Microseconds())}})
+}
+
 func regionLine(name, addr string) string {
 	return `{"uid":"` + name + `","endpoint":"` + addr + `","az":"north","model":"m1","state":"ready"}`
 }
@@ -497,8 +514,62 @@
 		c1 expect 200 yes`)
 }
 
-// A reload moves the watch to the discovery that it names while a job runs, and
-// what the old one still says no longer counts.
+// Until the discovery that a reload names has said something, the one before is listened to: who
+// it says leaves gets nothing new. An empty line before the first object says nothing.
+func TestReloadListensToBoth(t *testing.T) {
+	w := newWorld(t, 0, "r1", "r2")
+	w.serve(t, "discovery2")
+	addr := w.parties["r1"].listener.Addr().String()
+	play(t, w, `
+		discovery expect GET /catalog/members?watch=1&from=4
+		discovery send head
+		node send reload discovery2
+		discovery2 expect GET /catalog/members?watch=1&from=0
+		discovery2 send head
+		discovery2 send /n
+		discovery send {"rev":5,"targets":[{"uid":"r1","endpoint":"`+addr+`","az":"north","model":"m1","state":"draining"}]}/n
+		c1 send job post a1 || work
+		r2 expect POST /post/7?a=b txn=a1 key=k body=work
+		discovery2 send {"rev":1,"all":true,"targets":[`+regionLine("r1", addr)+`]}/n
+		discovery expect end
+		c2 send job post a2 || work
+		wait open 2`)
+	w.node.do(func() {
+		if got := w.node.told.may("r1", w.node.now()); got != errLeaves {
+			t.Errorf("an address that knows less brings a region back: %v", got)
+		}
+	})
+}
+
+// Before the first object a watch says nothing of what there is.
+func TestEmptyLinesAreNoList(t *testing.T) {
+	told := make(chan scheduler.TableRead, 10)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	n, err := Listen(Config{Listen: "127.0.0.1:0", Settings: parsed(t)}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.close()
+	go func() {
+		if conn, err := l.Accept(); err == nil {
+			io.WriteString(conn, watchHead+chunk("\n\n")+chunk(`{"rev":3,"all":false,"targets":[]}`+"\n\n")+chunk(`{"rev":4`))
+			conn.Close()
+		}
+	}()
+	err = n.follow(n.ctx, scheduler.Watch{Addr: l.Addr().String()}, func(e scheduler.TableRead, _ *tap) { told <- e })
+	if err == nil || errors.Is(err, errNoTable) {
+		t.Errorf("an object that is cut off is none, not one that cannot be read: %v", err)
+	}
+	if close(told); len(told) != 2 || (<-told).Table.Rev != 3 {
+		t.Errorf("%d words were told, want the object and the empty line behind it", len(told))
+	}
+}
+
+// A reload moves the watch to the discovery that it names while a job runs.
 func TestReload(t *testing.T) {
 	w := newWorld(t, 0, "r1")
 	w.serve(t, "discovery2")
@@ -508,7 +579,6 @@
 		c1 send job post a1 || work
 		r1 expect POST /post/7?a=b txn=a1 key=k body=work
 		node send reload discovery2
-		discovery expect end
 		discovery2 expect GET /catalog/members?watch=1&from=0
 		discovery2 close
 		discovery2 expect end
@@ -691,12 +761,12 @@
 	if n.ready() {
 		t.Error("ready before discovery was heard")
 	}
-	n.timer, n.watches = time.NewTimer(time.Hour), 1
-	n.handle(tableWord{1, scheduler.TableLost{}})
+	n.timer, n.watch = time.NewTimer(time.Hour), &watch{}
+	n.handle(tableWord{n.watch, scheduler.TableLost{}})
 	if n.ready() {
 		t.Error("ready though discovery did not answer")
 	}
-	n.handle(tableWord{1, scheduler.TableRead{}})
+	n.knows(0)
 	if !n.ready() {
 		t.Error("not ready with a table that was heard")
 	}
--- a/internal/node/region.go
+++ b/internal/node/region.go
@@ -5,10 +5,12 @@
 	"errors"
 	"net"
 	"net/url"
+	"os"
 	"slices"
 	"strconv"
 	"sync/atomic"
 	"syscall"
+	"time"
 
 	"github.com/mailru/easyjson/jlexer"
 
@@ -47,7 +49,7 @@
 // errand is one request to write: a routed task, or the withdrawal of one.
 type errand struct {
 	task     scheduler.Task
-	id       string
+	id, uid  string
 	writeBy  scheduler.Micros
 	deadline scheduler.Micros
 	payload  *payload // nil: a withdrawal
@@ -147,7 +149,7 @@
 }
 
 func (n *Node) route(r scheduler.Route) {
-	l, ok := n.assign(r.Addr, errand{task: r.Task, id: r.ID, writeBy: r.WriteBy, deadline: r.Deadline,
+	l, ok := n.assign(r.Addr, errand{task: r.Task, id: r.ID, uid: r.UID, writeBy: r.WriteBy, deadline: r.Deadline,
 		payload: r.Payload.(*payload)})
 	if !ok {
 		n.log.Warn("short on connections: a routed task is not sent", "txn", r.ID, "region", r.UID)
@@ -192,6 +194,10 @@
 
 func (n *Node) linkWrote(m wrote) error {
 	next, e := m.conn.Wrote(m.err != nil, errors.Is(m.err, syscall.ECONNREFUSED))
+	if end, is := e.(scheduler.Ended); is && (m.err == errLeaves || m.err == errUnheard) {
+		end.Outcome = dahliaford.Moot // the region is not at fault
+		e = end
+	}
 	if end, is := e.(scheduler.Ended); is && end.Outcome == dahliaford.ConnectFailed && n.noRoom(m.conn, m.err) {
 		n.log.Info("a region has no room for another connection", "region", m.conn.addr, "txn", m.conn.id)
 		end.Outcome = dahliaford.Full
@@ -310,11 +316,9 @@
 		case <-over: // ended while it idled: writing now would only look like a reset
 			err = net.ErrClosed
 		default:
-			if !c.gate.CompareAndSwap(gateOpen, gateWriting) {
-				return // given up just now
+			if err = c.write(conn, &e); err == errGivenUp {
+				return
 			}
-			conn.SetWriteDeadline(n.at(e.writeBy))
-			_, err = conn.Write(e.bytes(n.now(), c.addr))
 		}
 		n.post(wrote{c, err})
 		if err != nil {
@@ -328,6 +332,76 @@
 	}
 }
 
+var errGivenUp = errors.New("given up before anything got out")
+
+// write sends an errand. For a routed task the last look at what discovery has told comes with
+// the first byte in hand, and again for as long as none has left; a word that is not taken in
+// yet is waited for.
+func (c *regionConn) write(conn net.Conn, e *errand) error {
+	n := c.node
+	conn.SetWriteDeadline(n.at(e.writeBy))
+	if e.payload == nil {
+		if !c.gate.CompareAndSwap(gateOpen, gateWriting) {
+			return errGivenUp
+		}
+		_, err := conn.Write(e.bytes(n.now(), c.addr))
+		return err
+	}
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return err
+	}
+	text := e.bytes(n.now(), c.addr)
+	for {
+		changed, held, out := n.told.next(), error(nil), 0
+		wait := raw.Write(func(fd uintptr) bool {
+			if out == 0 {
+				now := n.now()
+				if held = n.told.may(e.uid, now); held == nil && now > e.writeBy {
+					held = os.ErrDeadlineExceeded
+				}
+				if held == nil && !c.gate.CompareAndSwap(gateOpen, gateWriting) && c.gate.Load() == gateShut {
+					held = errGivenUp
+				}
+				if held != nil {
+					return true
+				}
+			}
+			var sent int
+			if sent, err = send(fd, text[out:]); err == syscall.EAGAIN {
+				return false
+			}
+			out += sent
+			return err != nil || out == len(text)
+		})
+		switch {
+		case held == errUnread:
+		case held != nil:
+			return held
+		case wait != nil:
+			return wait
+		default:
+			return err
+		}
+		select {
+		case <-changed:
+		case <-c.ctx.Done():
+			return errGivenUp
+		case <-time.After(time.Until(n.at(e.writeBy))):
+			return os.ErrDeadlineExceeded
+		}
+	}
+}
+
+// send writes what a socket that never blocks takes.
+func send(fd uintptr, b []byte) (n int, err error) {
+	for {
+		if n, err = syscall.Write(int(fd), b); err != syscall.EINTR {
+			return max(n, 0), err
+		}
+	}
+}
+
 // listen reads answers, and so also sees the end of a connection that idles.
 func (c *regionConn) listen(conn net.Conn) {
 	read := http1.NewReader(conn)
--- /dev/null
+++ b/internal/node/told.go
@@ -0,0 +1,190 @@
+package node
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+
+	"dahliaford/internal/scheduler"
+)
+
+// told is what discovery has told, for the last look before a task leaves. The loop decides on
+// what it has read by then; but a change counts as told once discovery has written it, and it
+// may lie in the socket, with the reader or in the inbox while a task waits for its connection
+// or for the processor. So the writer asks here with its first byte in hand.
+type told struct {
+	grace  scheduler.Micros // after which nothing more may leave for a region that was told off
+	within scheduler.Micros // after which a change counts as told unheard; 0: never
+
+	mu      sync.Mutex
+	taps    map[*tap]bool
+	left    map[string]bool // regions that are to get nothing new
+	posted  uint64          // words that readers have passed on
+	applied uint64          // those of them that the loop has dealt with
+	until   scheduler.Micros
+	changed chan struct{} // closed when a word has been dealt with
+}
+
+func newTold(grace, within scheduler.Micros) *told {
+	return &told{grace: grace, within: within, taps: map[*tap]bool{}, left: map[string]bool{},
+		changed: make(chan struct{})}
+}
+
+// Why a task may not leave.
+var (
+	errUnread  = errors.New("a word of discovery is not taken in yet") // it is soon
+	errLeaves  = errors.New("the region leaves")
+	errUnheard = errors.New("discovery has not been heard for too long")
+)
+
+// may tells whether a task may leave for a region now. All that discovery has written by then
+// has been applied, so what it writes next leaves the whole grace for the first byte.
+func (t *told) may(uid string, now scheduler.Micros) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case t.left[uid]:
+		return errLeaves
+	case t.within > 0 && now > t.until:
+		return errUnheard
+	case t.posted != t.applied:
+		return errUnread
+	}
+	for tap := range t.taps {
+		if tap.raw || !tap.empty() {
+			return errUnread
+		}
+		tap.emptyAt = now
+	}
+	return nil
+}
+
+// next is closed when a word has been dealt with.
+func (t *told) next() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changed
+}
+
+func (t *told) signal() {
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// post counts a word that goes to the loop, and tells when it was written, or at most half of
+// the grace later: not before nothing lay in the socket, and not after it was read. What there
+// was to tell by then has been told.
+func (t *told) post(tap *tap, now scheduler.Micros) (at scheduler.Micros) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.posted++
+	return min(now, tap.emptyAt+t.grace/2)
+}
+
+// apply marks a word as dealt with; heard is its time, if it tells what there is.
+func (t *told) apply(heard scheduler.Micros) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.applied++
+	if heard != 0 {
+		t.until = heard + t.within
+	}
+	t.signal()
+}
+
+// distrust is called when a word came that nobody can read: it may have told off any region.
+func (t *told) distrust() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.until = 0
+}
+
+func (t *told) leaves(uid string, so bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if so {
+		t.left[uid] = true
+	} else {
+		delete(t.left, uid)
+	}
+}
+
+// tap reads a watch's connection and knows whether anything of it waits to be taken in.
+type tap struct {
+	told *told
+	now  func() scheduler.Micros
+	raw  bool // what was read last may hold a word that is not posted yet
+	conn syscall.RawConn
+	// emptyAt is the latest time at which nothing lay in the socket.
+	emptyAt scheduler.Micros
+}
+
+// tapped puts a tap on a connection. It has to be closed before the connection is.
+func (t *told) tapped(conn net.Conn, now func() scheduler.Micros) (*tap, error) {
+	raw, err := conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	p := &tap{told: t, now: now, conn: raw, emptyAt: now()}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.taps[p] = true
+	return p, nil
+}
+
+func (p *tap) close() {
+	p.told.mu.Lock()
+	defer p.told.mu.Unlock()
+	delete(p.told.taps, p)
+	p.told.signal()
+}
+
+// Read is called for more when all whole words of what it returned before have been posted. A
+// deadline ends it only if nothing has come by then: a reader without processor time finds the
+// deadline and the word together.
+func (p *tap) Read(b []byte) (n int, err error) {
+	p.told.mu.Lock()
+	p.raw = false
+	p.told.mu.Unlock()
+	ready := false
+	take := func(fd uintptr) bool {
+		p.told.mu.Lock()
+		defer p.told.mu.Unlock()
+		if n, err = receive(fd, b, 0); err == syscall.EAGAIN {
+			p.emptyAt = p.now()
+			return false
+		}
+		ready, p.raw = true, n > 0
+		return true
+	}
+	if wait := p.conn.Read(take); wait != nil {
+		if !errors.Is(wait, os.ErrDeadlineExceeded) || p.conn.Control(func(fd uintptr) { take(fd) }) != nil || !ready {
+			return 0, wait
+		}
+	}
+	if err == nil && n == 0 {
+		err = io.EOF
+	}
+	return n, err
+}
+
+// empty tells whether nothing lies in the socket: not a byte, nor its end.
+func (p *tap) empty() bool {
+	var one [1]byte
+	n := 0
+	p.conn.Control(func(fd uintptr) { n, _ = receive(fd, one[:], syscall.MSG_PEEK) })
+	return n == 0 // also once it is closed: discovery can write no more to it
+}
+
+// receive reads what a socket that never blocks has.
+func receive(fd uintptr, b []byte, flags int) (n int, err error) {
+	for {
+		n, _, err = syscall.Recvfrom(int(fd), b, flags|syscall.MSG_DONTWAIT)
+		if err != syscall.EINTR {
+			return max(n, 0), err
+		}
+	}
+}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"strconv"
@@ -30,39 +31,91 @@
 	longestLine = 4 << 20 // bytes of one object
 )
 
-// tableWord is what a watch says. The number tells whether it is the present one.
+// tableWord is what a watch says.
 type tableWord struct {
-	watch int
+	watch *watch
 	event scheduler.Event
 }
 
-// openWatch opens a watch in place of the present one.
+// watch is one watch of the service table.
+type watch struct {
+	release context.CancelFunc
+	ended   bool
+}
+
+// openWatch opens a watch in place of the present one. That one is read on until the new one
+// has said something: what discovery has written there has been told.
 func (n *Node) openWatch(w scheduler.Watch) {
-	if n.watch != nil {
-		n.watch()
-	}
 	ctx, release := context.WithCancel(n.ctx)
-	n.watch = release
-	n.watches++
-	number := n.watches
+	if n.watch != nil && !n.watch.ended {
+		if n.before != nil {
+			n.before.release()
+		}
+		n.before = n.watch
+	}
+	n.watch = &watch{release: release}
+	own := n.watch
 	n.spawn(func() {
 		defer release()
-		err := n.follow(ctx, w, func(e scheduler.Event) { n.post(tableWord{number, e}) })
-		if ctx.Err() == nil {
+		err := n.follow(ctx, w, func(e scheduler.TableRead, t *tap) {
+			e.At = n.told.post(t, n.now())
+			n.post(tableWord{own, e})
+		})
+		if ctx.Err() != nil {
+			err = nil // it was let go
+		} else {
 			n.log.Warn("watch of the service table lost", "error", err)
-			n.post(tableWord{number, scheduler.TableLost{}})
 		}
+		n.post(tableWord{own, scheduler.TableLost{Unread: errors.Is(err, errNoTable)}})
 	})
 }
 
+// watchSaid takes a word of a watch.
+func (n *Node) watchSaid(m tableWord) (err error) {
+	switch e := m.event.(type) {
+	case scheduler.TableRead:
+		heard := e.At
+		if m.watch == n.watch {
+			n.heard.Store(true)
+			if n.before != nil {
+				n.before.release()
+				n.before = nil
+			}
+		} else {
+			e.Old, heard = true, 0
+		}
+		err = n.step(e)
+		n.told.apply(heard) // only now: those who leave are known
+	case scheduler.TableLost:
+		if m.watch.ended = true; e.Unread {
+			n.told.distrust()
+		}
+		switch m.watch {
+		case n.watch:
+			err = n.step(e)
+		case n.before:
+			n.before = nil
+		}
+	}
+	return err
+}
+
+// errNoTable is the error of a word that cannot be read. What it has told is unknown.
+var errNoTable = errors.New("no table")
+
 // follow reads one watch until it ends.
-func (n *Node) follow(ctx context.Context, w scheduler.Watch, say func(scheduler.Event)) error {
+func (n *Node) follow(ctx context.Context, w scheduler.Watch, say func(scheduler.TableRead, *tap)) error {
 	dialer := net.Dialer{Deadline: time.Now().Add(answerWithin), KeepAlive: -1}
 	conn, err := dialer.DialContext(ctx, "tcp", w.Addr)
 	if err != nil {
 		return err
 	}
 	defer conn.Close()
+	tap, err := n.told.tapped(conn, n.now)
+	if err != nil {
+		return err
+	}
+	defer tap.close()
 	defer context.AfterFunc(ctx, func() { conn.SetDeadline(time.Now()) })()
 	conn.SetDeadline(dialer.Deadline)
 	target := membersPath + "?watch=1&from=" + strconv.FormatInt(w.Rev, 10)
@@ -70,7 +123,7 @@
 	if _, err := conn.Write(ask); err != nil {
 		return err
 	}
-	read := http1.NewReader(conn)
+	read := http1.NewReader(tap)
 	head, err := read.Head()
 	if err != nil {
 		return err
@@ -81,21 +134,38 @@
 	n.log.Info("watch of the service table open", "discovery", w.Addr, "from", w.Rev)
 	lines := bufio.NewScanner(read.Chunks())
 	lines.Buffer(nil, longestLine)
-	for lines.Scan() {
-		if err := ctx.Err(); err != nil {
-			return err
+	lines.Split(wholeLines)
+	for begun := false; lines.Scan(); {
+		if ctx.Err() == nil { // else the end of what has come is near
+			conn.SetReadDeadline(time.Now().Add(silentFor))
 		}
-		conn.SetReadDeadline(time.Now().Add(silentFor))
 		var t scheduler.Table
 		if line := bytes.TrimSpace(lines.Bytes()); len(line) > 0 {
 			if t, err = DecodeTable(line); err != nil {
-				return err
+				return fmt.Errorf("%w: %w", errNoTable, err)
 			}
+			begun = true
+		}
+		if begun { // before the first object an empty line says nothing of what there is
+			say(scheduler.TableRead{Table: t}, tap)
 		}
-		say(scheduler.TableRead{Table: t})
 	}
-	if err := lines.Err(); err != nil {
+	switch err := lines.Err(); {
+	case errors.Is(err, bufio.ErrTooLong):
+		return fmt.Errorf("%w: %w", errNoTable, err)
+	case err != nil:
 		return err
 	}
 	return fmt.Errorf("discovery ended the watch")
 }
+
+// wholeLines splits off lines. What is left without an end is none: it has not been told.
+func wholeLines(data []byte, atEOF bool) (advance int, token []byte, err error) {
+	if end := bytes.IndexByte(data, '\n'); end >= 0 {
+		return end + 1, data[:end], nil
+	}
+	if atEOF {
+		return len(data), nil, nil
+	}
+	return 0, nil, nil
+}
--- a/internal/scheduler/copy.go
+++ b/internal/scheduler/copy.go
@@ -76,7 +76,8 @@
 // states if they act alike from here on. Payloads are left out.
 func (s *Scheduler) AppendState(b []byte) []byte {
 	f := form.Form(b)
-	f.Num(int64(s.now), int64(s.lastJob), int64(s.lastTask), s.rev, int64(s.wake), int64(s.stopAt),
+	f.Num(int64(s.now), int64(s.lastJob), int64(s.lastTask), s.rev, int64(s.count), int64(s.knownAt),
+		int64(s.wake), int64(s.stopAt),
 		int64(s.longest),
 		int64(s.used.since), int64(len(s.byCaller)), int64(len(s.byID)), int64(len(s.byTask)), int64(len(s.byJob)))
 	f.Flag(s.watching, s.stopped, s.module == nil)
@@ -111,7 +112,11 @@
 		f.Text(r.Addr)
 		f.Text(r.Zone)
 		f.Text(r.Kind)
-		f.Num(int64(r.retired))
+		f.Num(int64(r.at.count), r.at.rev, int64(r.left), int64(r.gone))
+		if f.Flag(r.offer != nil); r.offer != nil {
+			f.Num(int64(r.offer.Cell), int64(r.offer.Status), int64(r.offer.Started))
+			f.Text(r.offer.Addr)
+		}
 	}
 	dues := slices.Clone(s.due)
 	slices.SortFunc(dues, func(a, b due) int {
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -67,9 +67,15 @@
 		Reached bool
 	}
 	// TableRead is a word from discovery; one without regions is a heartbeat.
-	TableRead struct{ Table Table }
+	TableRead struct {
+		Table Table
+		At    Micros // all that there was to tell by then has been told; 0: by now
+		Old   bool   // of the discovery before the present one: it tells only who leaves
+	}
 	// TableLost says that the watch could not be opened, or ended.
-	TableLost struct{}
+	TableLost struct {
+		Unread bool // with a word that nobody can read: any region may have been told to leave
+	}
 	// Woke says that the time of the last Wake has come.
 	Woke struct{}
 	// Stopping asks for an orderly end.
@@ -159,8 +165,10 @@
 		Addr string
 		Rev  int64 // what changed after it is asked for; 0: the whole table
 	}
-	// Retire closes idle connections to a region that left.
-	Retire struct{ Addr string }
+	// Retire says that nothing new may go to a region, and closes idle connections to it.
+	Retire struct{ UID, Addr string }
+	// Admit takes a Retire back: the region is there again, or forgotten.
+	Admit struct{ UID string }
 	// Close lets callers go that have nothing submitted.
 	Close struct{}
 	// Exit ends the program: nothing is owed any more.
@@ -180,6 +188,7 @@
 func (Wake) effect()     {}
 func (Watch) effect()    {}
 func (Retire) effect()   {}
+func (Admit) effect()    {}
 func (Close) effect()    {}
 func (Exit) effect()     {}
 func (Log) effect()      {}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -55,7 +55,9 @@
 	kinds     numbering
 	discovery string
 	rev       int64
-	watching  bool // discovery has answered the watch and not ended it
+	count     int    // numbers the counts of versions
+	knownAt   Micros // what there was to tell by then has been told
+	watching  bool   // discovery has answered the watch and not ended it
 
 	due      dues
 	wake     Micros // what the last Wake asked for; 0: nothing
@@ -134,10 +136,22 @@
 
 type region struct {
 	Region
-	number  dahliaford.WorkerID
-	retired Micros // since when it is gone, and said so; 0: it is not
+	number dahliaford.WorkerID
+	at     version // of the word that says so
+	left   Micros  // since when it has been told to leave; 0: it has not
+	gone   Micros  // since when it is gone; 0: it is not
+	offer  *Region // how a word describes it as ready that may be older than the one it left by
 }
 
+// version says how new a word of discovery is. Versions of one count can be compared.
+type version struct {
+	count int // changes with discovery's address, and when it counts from below
+	rev   int64
+}
+
+// newer tells whether a word is known to be newer than another.
+func (v version) newer(than version) bool { return v.count == than.count && v.rev > than.rev }
+
 // numbering gives names their place in a list; unheard-of ones get places behind.
 type numbering []string
 
@@ -208,10 +222,14 @@
 	case Withdrawn:
 		s.withdrawn(&e)
 	case TableRead:
-		s.tableRead(e.Table)
+		s.tableRead(&e)
 	case TableLost:
 		s.watching = false
-		s.tell(dahliaford.Event{Kind: dahliaford.ListChanged, Scope: dahliaford.ListFailed})
+		lost := dahliaford.Event{Kind: dahliaford.ListChanged, Scope: dahliaford.ListFailed}
+		if e.Unread {
+			lost.Scope = dahliaford.ListUnread
+		}
+		s.tell(lost)
 	case Woke:
 		s.wake = 0
 	case Stopping:
@@ -263,7 +281,7 @@
 func (s *Scheduler) begin(known Table) {
 	s.rev = max(s.rev, known.Rev)
 	s.tell(dahliaford.Event{Kind: dahliaford.Began})
-	s.apply(known, dahliaford.ListCached)
+	s.apply(known, dahliaford.ListCached, s.now)
 }
 
 // ---- Transactions
@@ -530,13 +548,21 @@
 
 // ---- The service table
 
-func (s *Scheduler) tableRead(t Table) {
-	s.watching = true
+func (s *Scheduler) tableRead(e *TableRead) {
+	at := e.At
+	if at == 0 {
+		at = s.now
+	}
+	if e.Old {
+		s.warned(e.Table)
+		return
+	}
+	s.watching, s.knownAt = true, at
 	scope := dahliaford.ListDelta
-	if t.All {
+	if e.Table.All {
 		scope = dahliaford.ListFull
 	}
-	s.apply(t, scope)
+	s.apply(e.Table, scope, at)
 }
 
 // reloaded goes over to the discovery that a new configuration names, at once and
@@ -545,42 +571,108 @@
 // means nothing to it. The table that is known holds until it answers.
 func (s *Scheduler) reloaded(discovery string) {
 	s.discovery, s.rev, s.watching = discovery, 0, false
+	s.count++
 	s.emit(Watch{Addr: s.discovery, Rev: s.rev})
 }
 
-func (s *Scheduler) apply(t Table, scope dahliaford.ListScope) {
-	s.rev = max(s.rev, t.Rev)
-	if t.All {
-		s.rev = t.Rev // discovery may have started anew and count from below
-		for _, r := range s.regions {
-			r.Status = dahliaford.Gone
+// warned takes from a discovery that is no longer the present one who leaves.
+func (s *Scheduler) warned(t Table) {
+	e := dahliaford.Event{Kind: dahliaford.ListChanged, Scope: dahliaford.ListWarned}
+	for _, line := range t.Regions {
+		if r := s.regions[line.UID]; r != nil && r.left == 0 && line.Status != dahliaford.Ready {
+			r.Status, r.at = line.Status, version{count: -1}
+			e.Workers = append(e.Workers, s.entry(r))
 		}
 	}
-	e := dahliaford.Event{Kind: dahliaford.ListChanged, Scope: scope}
+	if len(e.Workers) > 0 {
+		s.mark()
+		s.tell(e)
+	}
+}
+
+// apply takes a word of the present discovery, or the table that a start knows.
+func (s *Scheduler) apply(t Table, scope dahliaford.ListScope, at Micros) {
+	if t.All && t.Rev < s.rev {
+		s.count++ // discovery has started anew, or another one answers: it counts from below
+	}
+	if s.rev = max(s.rev, t.Rev); t.All {
+		s.rev = t.Rev
+	}
+	now := version{s.count, t.Rev}
+	named := map[string]bool{}
+	e := dahliaford.Event{Kind: dahliaford.ListChanged, Scope: scope, Age: s.now - at}
 	for _, line := range t.Regions {
+		named[line.UID] = true
 		r := s.regions[line.UID]
 		if r == nil {
-			r = &region{number: s.numberOf(line.UID)}
+			r = &region{Region: line, at: now, number: s.numberOf(line.UID)}
 			s.regions[line.UID], s.byNumber[r.number] = r, r
+		} else {
+			s.take(r, line, now)
+		}
+		e.Workers = append(e.Workers, s.entry(r)) // as it now is known
+	}
+	for _, r := range sorted(s.regions) {
+		switch {
+		case t.All && !named[r.UID] && r.Status != dahliaford.Gone:
+			r.Status, r.at, r.offer = dahliaford.Gone, now, nil
+		case r.offer != nil && s.now-r.left >= s.set.Module.ToldWithin:
+			r.Region, r.offer = *r.offer, nil
+		default:
+			continue
 		}
-		r.Region = line
-		e.Workers = append(e.Workers, dahliaford.WorkerEntry{Worker: r.number, Zone: s.zones.of(line.Zone),
-			Cell: line.Cell, Kind: s.kinds.of(line.Kind), Status: line.Status, Started: line.Started})
+		e.Workers = append(e.Workers, s.entry(r))
+	}
+	s.mark()
+	s.tell(e)
+}
+
+// take takes what a word says of a region, if it is newer than what is known. A region that was
+// told to leave does not come back by a word that may be older than that one: an address that
+// knows less than the one before, a service that counts anew, a change said again. It comes back
+// once it has started since, or its word is newer for certain, or has been there for so long
+// that its leave would be known there.
+func (s *Scheduler) take(r *region, line Region, at version) {
+	back := line.Status == dahliaford.Ready
+	switch {
+	case back && r.at.newer(at):
+	case back && r.left != 0 && line.Started <= r.Started && !at.newer(r.at) &&
+		s.now-r.left < s.set.Module.ToldWithin:
+		r.offer = &line
+	default:
+		r.Region, r.at, r.offer = line, at, nil
 	}
+}
+
+func (s *Scheduler) entry(r *region) dahliaford.WorkerEntry {
+	return dahliaford.WorkerEntry{Worker: r.number, Zone: s.zones.of(r.Zone), Cell: r.Cell,
+		Kind: s.kinds.of(r.Kind), Status: r.Status, Started: r.Started}
+}
+
+// mark notes since when regions are leaving or gone, says so, and forgets those that have been
+// gone for long.
+func (s *Scheduler) mark() {
 	long := s.set.Module.GoneFor()
 	for _, r := range sorted(s.regions) {
+		switch {
+		case r.Status != dahliaford.Ready && r.left == 0:
+			r.left = max(s.now, 1)
+			s.emit(Retire{UID: r.UID, Addr: r.Addr})
+		case r.Status == dahliaford.Ready && r.left != 0:
+			r.left = 0
+			s.emit(Admit{UID: r.UID})
+		}
 		switch {
 		case r.Status != dahliaford.Gone:
-			r.retired = 0
-		case r.retired == 0:
-			r.retired = max(s.now, 1)
-			s.emit(Retire{Addr: r.Addr})
-		case s.now-r.retired >= long:
+			r.gone = 0
+		case r.gone == 0:
+			r.gone = max(s.now, 1)
+		case s.now-r.gone >= long:
 			delete(s.regions, r.UID)
 			delete(s.byNumber, r.number)
+			s.emit(Admit{UID: r.UID})
 		}
 	}
-	s.tell(e)
 }
 
 // numberOf gives a region its number from its name. Schedulers that share nothing
@@ -642,7 +734,7 @@
 		if s.watching {
 			// The watch shows by its heartbeats that it lives. Opening another would
 			// only load discovery, so the module gets its answer here.
-			s.feed(dahliaford.Event{Kind: dahliaford.ListChanged, Scope: dahliaford.ListDelta})
+			s.feed(dahliaford.Event{Kind: dahliaford.ListChanged, Scope: dahliaford.ListDelta, Age: s.now - s.knownAt})
 		} else {
 			s.emit(Watch{Addr: s.discovery, Rev: s.rev})
 		}
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -364,10 +364,10 @@
 		"a drained region gets nothing new, one that is gone is let go": `
 			discovery send r1=draining r2=ready
 			c1 send a1 post sahel 5s
+			r1 expect retired
 			r1 expect nothing
 			r2 expect a1 payload written in 250ms done in 4.996s
 			discovery send r1=gone
-			r1 expect retired
 			discovery send
 			r1 expect nothing`,
 		"a dead watch is opened again from where it stood": `
@@ -441,8 +441,8 @@
 // they met it in: the module reckons the owner of a cold one by it.
 func TestNumbersHangOnNamesAlone(t *testing.T) {
 	a, b := newWorld(t).s, newWorld(t).s
-	a.apply(Table{Regions: []Region{line("s-1", 1), line("s-2", 1)}}, dahliaford.ListDelta)
-	b.apply(Table{Regions: []Region{line("s-2", 1), line("s-1", 1)}}, dahliaford.ListDelta)
+	a.apply(Table{Regions: []Region{line("s-1", 1), line("s-2", 1)}}, dahliaford.ListDelta, 1)
+	b.apply(Table{Regions: []Region{line("s-2", 1), line("s-1", 1)}}, dahliaford.ListDelta, 1)
 	for _, uid := range []string{"s-1", "s-2"} {
 		if diff := cmp.Diff(a.regions[uid].number, b.regions[uid].number); diff != "" {
 			t.Errorf("%s: %s", uid, diff)
--- /dev/null
+++ b/internal/scheduler/table_test.go
@@ -0,0 +1,68 @@
+package scheduler
+
+import (
+	"testing"
+
+	"dahliaford"
+)
+
+// A region that was told to leave does not come back by a word that may be older than that one.
+func TestNoOlderWordBringsALeavingRegionBack(t *testing.T) {
+	ready, leaves, gone := line("r1", dahliaford.Ready), line("r1", dahliaford.Draining), line("r1", dahliaford.Gone)
+	restarted, other := ready, line("r2", dahliaford.Ready)
+	restarted.Started = 5 * second
+	word := func(rev int64, all bool, r ...Region) Event { return TableRead{Table: Table{rev, all, r}} }
+	moved := Reloaded{Discovery: "d2"}
+	for name, c := range map[string]struct {
+		words []Event
+		back  bool // at once
+		later bool // once its leave would be known there, too
+	}{
+		"a newer change":                      {[]Event{word(9, false, leaves), word(10, false, ready)}, true, true},
+		"a newer whole list":                  {[]Event{word(9, false, leaves), word(10, true, ready)}, true, true},
+		"it has started since":                {[]Event{word(9, false, leaves), moved, word(3, true, restarted)}, true, true},
+		"an older change":                     {[]Event{word(9, false, leaves), word(8, false, ready)}, false, false},
+		"the same said again":                 {[]Event{word(9, false, leaves), word(9, false, ready)}, false, true},
+		"a service that counts anew":          {[]Event{word(9, false, leaves), word(3, true, ready)}, false, true},
+		"an address that knows less":          {[]Event{word(9, false, leaves), moved, word(12, true, ready)}, false, true},
+		"the same for one that is gone":       {[]Event{word(9, false, gone), moved, word(12, true, ready)}, false, true},
+		"missing from a list, and back":       {[]Event{word(9, true, other), moved, word(12, true, ready)}, false, true},
+		"the address before knows more":       {[]Event{moved, TableRead{Table: Table{9, false, []Region{leaves}}, Old: true}, word(12, true, ready)}, false, true},
+		"it leaves by a word that comes late": {[]Event{word(9, false, ready), word(8, false, leaves)}, false, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			w.s.set.Module.ToldWithin = 6 * second
+			w.step(word(7, true, ready, other))
+			for _, e := range c.words {
+				w.now += second / 10
+				w.step(e)
+			}
+			for _, at := range []struct {
+				when string
+				want bool
+			}{{"at once", c.back}, {"after a while", c.later}} {
+				if got := w.s.regions["r1"].Status == dahliaford.Ready; got != at.want {
+					t.Errorf("back %s: %v, want %v", at.when, got, at.want)
+				}
+				w.now += 6 * second
+				w.step(TableRead{})
+			}
+		})
+	}
+}
+
+// A word that comes late through sockets and inboxes is as old as it is, also for the module
+// that asks whether the list is alive.
+func TestAnOldWordDoesNotPassForNew(t *testing.T) {
+	w := newWorld(t)
+	w.step(TableRead{At: w.now - second})
+	if w.s.knownAt != w.now-second {
+		t.Errorf("known at %d, want %d", w.s.knownAt, w.now-second)
+	}
+	w.now += second
+	w.step(TableRead{})
+	if w.s.knownAt != w.now {
+		t.Errorf("known at %d, want %d", w.s.knownAt, w.now)
+	}
+}
