Answer all that was taken before a stopping scheduler is killed, its listen queue too

Nothing in the reducer knew of the kill, which comes from 3.7 s after SIGTERM on while a batch may wait for 20 s.

The acceptor now closes it once a poll shows nobody there. - part cut everything 1 s after nothing was owed; now when the kill may come. - client.go: a read deadline (100 ms at a stop) went before bytes that had come, for a program without processor time. Now a deadline ends a read only if nothing is there. - A request's time counted from when it was read. Taken off now: the wait for a slot, and twice the program's own lag (timers and inbox, worst of the last while): unread, and answered late. Ruled out: a full inbox keeps no answer back, as each event's step deals with all that is due (scheduler.go, expire).

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"dahliaford"
@@ -41,6 +42,7 @@
 	closed     struct{ client *client }
 	submission struct {
 		client *client
+		at     scheduler.Micros // read by then
 		scheduler.Submitted
 	}
 	crowded struct{}
@@ -65,7 +67,8 @@
 	release context.CancelFunc
 	idle    atomic.Int64 // since when no request is under way; 0: one is
 	since   scheduler.Micros
-	rank    atomic.Int32 // cutOff, stranger, caller or customer
+	queued  scheduler.Micros // from when on it may have waited to be accepted; 0: it did not
+	rank    atomic.Int32     // cutOff, stranger, caller or customer
 }
 
 // What a connection has shown of itself. When room is short, the lowest go first.
@@ -77,7 +80,7 @@
 )
 
 func newClient(n *Node, conn net.Conn) *client {
-	c := &client{node: n, conn: conn, read: http1.NewReader(conn)}
+	c := &client{node: n, conn: conn, read: http1.NewReader(thorough(conn))}
 	c.answers = make(chan scheduler.Answer, 1)
 	c.read.Continue = func() {
 		conn.SetWriteDeadline(time.Now().Add(writeSlack))
@@ -114,12 +117,17 @@
 			case cutOff:
 			case caller:
 				c.conn.SetReadDeadline(time.Now().Add(crossing / 10)) // no job was ever lost here
+			case stranger:
+				c.conn.SetReadDeadline(time.Now().Add(lingers)) // it may just have come, with its first request
 			default:
 				c.conn.SetReadDeadline(time.Now().Add(crossing))
 			}
 			if err := <-next; err != nil {
 				return
 			}
+			if c.rank.Load() == stranger { // it has begun: it gets the time that it had
+				c.conn.SetReadDeadline(latest(n.at(c.since).Add(firstWithin), time.Now().Add(lingers)))
+			}
 		}
 		c.idle.Store(0)
 		var goOn bool
@@ -130,6 +138,13 @@
 	}
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // begin waits on the side for the next bytes to come, which also shows when the
 // client leaves. Nobody else may read until its word has been taken.
 func (c *client) begin() <-chan error {
@@ -146,6 +161,9 @@
 	}
 	r, err := c.read.Request()
 	at := n.now()
+	if c.queued != 0 { // its time counts from its last byte, which may have come by then
+		at, c.queued = c.queued, 0
+	}
 	if err != nil {
 		var wrong *http1.Error
 		if errors.Is(err, os.ErrDeadlineExceeded) {
@@ -231,20 +249,21 @@
 		}
 		return c.begin(), true
 	}
-	const mostMs = 1 << 40 // keeps the sum from running over
+	const mostMs = 1 << 40          // keeps the sum from running over
+	early := 2 * n.lag.now(n.now()) // it lay unread for that long, and its answer is as late
 	s := scheduler.Submitted{Caller: scheduler.Caller(lastCaller.Add(1)), ID: id,
-		Class: class(r), Tenant: r.Header.Get("X-Org"), Deadline: at + scheduler.Micros(min(ms, mostMs))*1000,
+		Class: class(r), Tenant: r.Header.Get("X-Org"), Deadline: at + scheduler.Micros(min(ms, mostMs))*1000 - early,
 		Slots: slots, Repeat: r.Header.Get("X-Resent") == "1", Payload: &payload{method: r.Method, target: r.Target,
 			key: r.Header.Get("Idempotency-Key"), body: r.Body}}
-	n.post(submission{c, s})
+	n.post(submission{c, n.now(), s})
 	next = c.begin()
 	var answer scheduler.Answer
-	early := next
+	ahead := next
 	for answered := false; !answered; {
 		select {
 		case answer = <-c.answers:
 			answered = true
-		case err := <-early:
+		case err := <-ahead:
 			if err != nil {
 				n.post(scheduler.CallerLeft{Caller: s.Caller})
 				return nil, false
@@ -252,7 +271,7 @@
 			// The next request came before this one's answer: it waits its turn.
 			ready := make(chan error, 1)
 			ready <- nil
-			early, next = nil, ready
+			ahead, next = nil, ready
 		case <-n.ctx.Done():
 			return nil, false
 		}
@@ -341,4 +360,31 @@
 	c.release()
 }
 
+// stubborn reads a connection whose deadline is over as long as something has come: a reader
+// that had no processor time finds both at once, and what the machine has taken must be read.
+type stubborn struct {
+	net.Conn
+	raw syscall.RawConn
+}
+
+func thorough(conn net.Conn) io.Reader {
+	if s, ok := conn.(syscall.Conn); ok {
+		if raw, err := s.SyscallConn(); err == nil {
+			return &stubborn{conn, raw}
+		}
+	}
+	return conn
+}
+
+func (s *stubborn) Read(b []byte) (n int, err error) {
+	if n, err = s.Conn.Read(b); n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return n, err
+	}
+	s.raw.Control(func(fd uintptr) { n, _ = receive(fd, b, 0) })
+	if n > 0 {
+		return n, nil
+	}
+	return 0, err
+}
+
 func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -11,12 +11,15 @@
 	"log/slog"
 	"maps"
 	"net"
+	"os"
 	"runtime/debug"
 	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"dahliaford/internal/scheduler"
 	"dahliaford/internal/settings"
 )
@@ -47,7 +50,7 @@
 	sweepEvery = time.Second // looks for region connections that have idled too long
 	// readyWithin is the longest from the start until health says that clients may come.
 	readyWithin = 10 * time.Second
-	lastWords   = time.Second // for withdrawals and for clients to part, once nothing is owed
+	lastWords   = time.Second // for clients to part, after an end that nobody asked for
 )
 
 // Node is one scheduler on sockets. Everything below its inbox belongs to the loop.
@@ -65,6 +68,7 @@
 	sched    *scheduler.Scheduler
 	effects  []scheduler.Effect
 	timer    *time.Timer
+	wakeAt   scheduler.Micros // what it is set to
 	told     *told
 	watch    *watch // the present one
 	before   *watch // the one before, until the present one says something
@@ -80,6 +84,8 @@
 	reserve  int              // slots that those who wait for an answer may not take
 	asked    atomic.Bool      // room has been asked for, and not been made yet
 	panics   int
+	parting  atomic.Bool     // the acceptor ends with its queue
+	lag      lag             // how late the program is
 	draining atomic.Bool     // no new transactions are taken: health says so
 	heard    atomic.Bool     // discovery has been heard
 	calls    int             // withdrawals under way
@@ -172,6 +178,7 @@
 		case <-sweep.C:
 			n.retireIdle()
 		case <-n.timer.C:
+			n.lag.note(n.now(), n.wakeAt)
 			err = n.step(scheduler.Woke{})
 		}
 	}
@@ -198,15 +205,21 @@
 }
 
 // part asks all clients to go once they have their answers, and says when it is over at
-// the latest.
-func (n *Node) part() {
+// the latest. Whoever the machine has accepted by then is among them: the listener is closed
+// by its acceptor, once nobody is left in its queue.
+func (n *Node) part(by time.Time) {
 	if n.leave != nil {
 		return
 	}
 	leave, parted := make(chan struct{}), make(chan struct{})
 	n.leave, n.parted = leave, parted
-	time.AfterFunc(lastWords, func() { close(leave) })
-	n.listener.Close()
+	time.AfterFunc(time.Until(by), func() { close(leave) })
+	n.parting.Store(true)
+	if l, ok := n.listener.(*net.TCPListener); ok {
+		l.SetDeadline(time.Now()) // wakes the acceptor
+	} else {
+		n.listener.Close()
+	}
 	for c := range n.clients {
 		c.release()
 	}
@@ -219,13 +232,14 @@
 // close gives everything back: the listener, the watch, and the connections, which
 // first get a moment to write what was answered.
 func (n *Node) close() {
-	if n.part(); n.parted != nil {
+	if n.part(time.Now().Add(lastWords)); n.parted != nil {
 		select {
 		case <-n.parted:
 		case <-n.leave:
 		}
 	}
 	n.end()
+	n.listener.Close()
 	n.log.Info("stopped")
 }
 
@@ -236,6 +250,7 @@
 			m.client.release()
 		}
 	case submission:
+		n.lag.note(n.now(), m.at)
 		// The last slots are for callbacks: without them nothing that runs would end.
 		if len(n.callers) >= cap(n.slots)-n.reserve {
 			n.log.Warn("short on connections: a job is refused", "txn", m.ID)
@@ -313,6 +328,7 @@
 			c.answers <- e // it has room for the one answer that a caller gets
 		}
 	case scheduler.Wake:
+		n.wakeAt = e.At
 		n.timer.Reset(time.Until(n.at(e.At)))
 	case scheduler.Watch:
 		n.openWatch(e)
@@ -327,7 +343,7 @@
 			c.release()
 		}
 	case scheduler.Exit:
-		n.part()
+		n.part(n.at(e.By))
 	case scheduler.Log:
 		level := slog.LevelInfo
 		if e.Warn {
@@ -380,17 +396,24 @@
 const pause = 20 * time.Millisecond
 
 // slot takes a slot for the next client. Room is made before it is needed, as closing
-// takes a moment; a callback or a usual client may be the next in the queue.
-func (n *Node) slot() bool {
+// takes a moment; a callback or a usual client may be the next in the queue. Whoever is
+// accepted next may have waited in the queue since the time that is returned, if any.
+func (n *Node) slot() (since scheduler.Micros, ok bool) {
 	if cap(n.slots)-len(n.slots) < max(n.reserve/2, 1) && n.asked.CompareAndSwap(false, true) {
 		n.post(crowded{})
 	}
+	select {
+	case n.slots <- struct{}{}:
+		return 0, true
+	default:
+		since = n.now()
+	}
 	for {
 		select {
 		case n.slots <- struct{}{}:
-			return true
+			return since, true
 		case <-n.ctx.Done():
-			return false
+			return 0, false
 		case <-time.After(pause):
 			n.post(crowded{}) // those who had just come are old enough by now, or one idles
 		}
@@ -399,12 +422,31 @@
 
 func (n *Node) accept() {
 	defer n.serving.Done()
-	for n.slot() {
+	short := scheduler.Micros(0) // since when there were too few slots, without a break
+	for {
+		since, ok := n.slot()
+		if !ok {
+			return
+		}
+		if since == 0 {
+			short = 0
+		} else if short == 0 {
+			short = since
+		}
+		if n.parting.Load() && !n.queued() {
+			<-n.slots
+			n.listener.Close()
+			return
+		}
 		conn, err := n.listener.Accept()
 		if err != nil {
 			<-n.slots
-			if n.ctx.Err() != nil || isClosed(err) {
+			switch {
+			case n.ctx.Err() != nil || isClosed(err):
 				return
+			case n.parting.Load() && errors.Is(err, os.ErrDeadlineExceeded):
+				n.listener.(*net.TCPListener).SetDeadline(time.Time{})
+				continue
 			}
 			n.log.Warn("cannot accept", "error", err)
 			n.post(crowded{})
@@ -412,8 +454,32 @@
 			continue
 		}
 		c := newClient(n, conn)
+		c.queued = short
 		n.serving.Add(1)
 		n.post(opened{c})
 		n.spawn(c.serve)
 	}
 }
+
+// queued tells whether somebody waits to be accepted.
+func (n *Node) queued() bool {
+	l, ok := n.listener.(*net.TCPListener)
+	if !ok {
+		return false
+	}
+	raw, err := l.SyscallConn()
+	if err != nil {
+		return false
+	}
+	waits := false
+	raw.Control(func(fd uintptr) {
+		one := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+		for {
+			k, err := unix.Poll(one, 0)
+			if waits = k > 0; err != unix.EINTR {
+				return
+			}
+		}
+	})
+	return waits
+}
--- a/internal/scheduler/copy.go
+++ b/internal/scheduler/copy.go
@@ -77,7 +77,7 @@
 func (s *Scheduler) AppendState(b []byte) []byte {
 	f := form.Form(b)
 	f.Num(int64(s.now), int64(s.lastJob), int64(s.lastTask), s.rev, int64(s.count), int64(s.knownAt),
-		int64(s.wake), int64(s.stopAt),
+		int64(s.wake), int64(s.stopAt), int64(s.endBy),
 		int64(s.longest),
 		int64(s.used.since), int64(len(s.byCaller)), int64(len(s.byID)), int64(len(s.byTask)), int64(len(s.byJob)))
 	f.Flag(s.watching, s.stopped, s.module == nil)
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -171,8 +171,8 @@
 	Admit struct{ UID string }
 	// Close lets callers go that have nothing submitted.
 	Close struct{}
-	// Exit ends the program: nothing is owed any more.
-	Exit struct{}
+	// Exit ends the program: nothing is owed any more. Clients may part until then.
+	Exit struct{ By Micros }
 	// Log is a line for the log.
 	Log struct {
 		Warn bool // somebody should look
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -17,6 +17,12 @@
 	// serveOn is how long a stopping scheduler takes new transactions: the front
 	// goes on dealing it connections for a part of that.
 	serveOn = 600 * millisecond
+	// killedAfter is the least time from the request to end to the kill, beyond the longest
+	// deadline; that counts as longestKept where it is longer. Who still waits is answered
+	// lastCall before that: a kill would leave them without an answer.
+	killedAfter = 700 * millisecond
+	longestKept = 3 * second
+	lastCall    = 300 * millisecond
 	// answerWithin is how long a region may take to answer a withdrawal.
 	answerWithin = second
 	// recallAgain is the first wait before a withdrawal that did not get through is tried
@@ -62,6 +68,7 @@
 	due      dues
 	wake     Micros // what the last Wake asked for; 0: nothing
 	stopAt   Micros // no new transactions from then on; 0: not stopping
+	endBy    Micros // with it: who waits is answered by then
 	stopped  bool
 	feedback []dahliaford.Event // for the module, from what its own actions led to
 	stepping bool
@@ -234,8 +241,9 @@
 		s.wake = 0
 	case Stopping:
 		if s.stopAt == 0 {
-			s.stopAt = now + serveOn
+			s.stopAt, s.endBy = now+serveOn, now+min(s.longest, longestKept)+killedAfter-lastCall
 			heap.Push(&s.due, due{at: s.stopAt})
+			heap.Push(&s.due, due{at: s.endBy})
 			heap.Push(&s.due, due{at: s.stopAt + recallOn})
 		}
 	}
@@ -826,8 +834,19 @@
 		s.emit(Close{})
 		s.log("no new transactions from now on", "open", len(s.byCaller))
 	}
+	if s.now >= s.endBy {
+		for _, t := range sorted(s.byCaller) {
+			verdict := Failed
+			if len(t.tasks) == 0 {
+				verdict = Refused // nothing of it ever left
+			}
+			s.warn("the end comes before the deadline", "txn", t.id)
+			s.answer(t, Answer{Verdict: verdict})
+			s.tell(dahliaford.Event{Kind: dahliaford.ClientGone, Job: t.job})
+		}
+	}
 	if len(s.byCaller) == 0 && (len(s.recalls) == 0 || s.now >= s.stopAt+recallOn) {
-		s.emit(Exit{})
+		s.emit(Exit{By: s.endBy + lastCall})
 	}
 }
 
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -370,6 +370,17 @@
 			discovery send r1=gone
 			discovery send
 			r1 expect nothing`,
+		"who still waits as the kill comes near gets an answer": `
+			c1 send a1 batch sahel 20s
+			r1 expect a1 payload written in 250ms done in 19.996s
+			r1 send accepted a1
+			r1 send started a1
+			program send stop
+			wait 3399ms
+			c1 expect nothing
+			wait 1ms
+			c1 expect failed last
+			r1 expect withdrawn a1`,
 		"a dead watch is opened again from where it stood": `
 			discovery expect watch d1 from 1
 			discovery send r2=ready
