Take the good entries of a table with a bad one, and hold 1,024 of both sizes in a test

Causes, by reading, each with a test seen failing on the build before: - internal/node/decode.go: one entry without a name, an address or a known state made the whole change unread, so a drain beside it was told and not known; a state that was absent read as gone. Now the entry alone is passed over, its region taken out of use (nothing shows that it is ready), one line in the log says why. An entry of the wrong type alone costs no more. - cmd/dahliaford/config.go: a `known` that makes no sense ended the start. It may be of any age and lets nothing go by itself, so the start goes on without it. - serve.go: a SIGHUP that found the file half written changed nothing for good, and the address of the old discovery ends. It is read again after 0.1 s, doubling, eight times.

--- a/cmd/dahliaford/serve.go
+++ b/cmd/dahliaford/serve.go
@@ -7,6 +7,7 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
 	"dahliaford/internal/node"
 )
@@ -14,6 +15,11 @@
 const (
 	defaultMemory = 192 // MB
 	softShare     = 0.7 // of the limit: from there on the collector works harder
+
+	// A signal comes once, and may find the file being written: it is read again after
+	// reloadAgain, which doubles, so many times.
+	reloadAgain = 100 * time.Millisecond
+	reloadTries = 8
 )
 
 type serveCmd struct{}
@@ -45,32 +51,41 @@
 	ended := make(chan struct{})
 	defer close(ended)
 	go func() {
+		var again <-chan time.Time // a reload that found no whole configuration is tried again
+		tries := 0
 		for {
 			select {
 			case s := <-ends:
 				log.Info("stopping", "signal", s.String())
 				n.Stop()
+				continue
 			case <-reloads:
-				reload(n, cfg, log)
+				tries = 0
+			case <-again:
 			case <-ended:
 				return
 			}
+			if again = nil; !reload(n, cfg, log) && tries < reloadTries {
+				again = time.After(reloadAgain << tries)
+				tries++
+			}
 		}
 	}()
 	return n.Run()
 }
 
-// reload reads the configuration again. One that is broken, or half written, changes
-// nothing.
-func reload(n *node.Node, old node.Config, log *slog.Logger) {
+// reload reads the configuration again, and tells whether it could. One that is broken, or half
+// written, changes nothing.
+func reload(n *node.Node, old node.Config, log *slog.Logger) bool {
 	cfg, err := configuration(os.Getenv, true)
 	if err != nil {
 		log.Warn("configuration not taken: the old one holds", "error", err)
-		return
+		return false
 	}
 	log.Info("configuration taken", "discovery", cfg.Discovery)
 	if fixed(old, cfg) {
 		log.Warn("only discovery's address is applied: the rest needs a restart")
 	}
 	n.Reload(cfg)
+	return true
 }
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -944,6 +944,24 @@
 	}
 }
 
+// A change that nobody can read may tell any worker to drain: nothing is sent until the list is
+// heard anew. What others say of workers that leave is no word of the list.
+func TestAChangeThatCannotBeReadEndsTheTrust(t *testing.T) {
+	s := testSettings()
+	s.AskForList, s.AskWithin, s.ToldWithin = true, 10*second, 6*second
+	b := newBench(t, s, ready(1, 0), ready(2, 0))
+	b.do(Event{Kind: ListChanged, Scope: ListUnread})
+	b.want(b.arrive(1, 0), Send, 0)
+	b.want(b.do(Event{Kind: ListChanged, Scope: ListWarned, Workers: []WorkerEntry{{Worker: 1, Status: Draining}}}), Send, 0)
+	sent := find(b.do(Event{Kind: ListChanged, Age: second}), Send)
+	if len(sent) != 1 || sent[0].Worker != 2 {
+		t.Errorf("sent %+v, want one to worker 2", sent)
+	}
+	b.end(1, 0, OK)
+	b.now += 5*second + 1 // a word is as old as it says
+	b.want(b.arrive(2, 0), Send, 0)
+}
+
 // Some clients give up early, and bring less patience to their first try. It is not lost for
 // that; only a repeat has used up what is missing.
 func TestFirstTryWithLittlePatienceIsNoRepeat(t *testing.T) {
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -283,7 +283,11 @@
 		answer.Body = append(answer.Body, '\n') // a line for whoever reads it
 	}
 	last := r.Close || answer.Last || c.ctx.Err() != nil || len(n.slots) == cap(n.slots)
-	return next, c.write(s.Deadline, statuses[answer.Verdict], last, advice(answer), answer.Body)
+	goOn = c.write(s.Deadline, statuses[answer.Verdict], last, advice(answer), answer.Body)
+	if late := n.now() - s.Deadline - early; late > 0 {
+		n.log.Warn("an answer is late", "txn", id, "ms", late/millisecond, "read_ms_ago", (n.now()-at)/millisecond)
+	}
+	return next, goOn
 }
 
 // single are the headers of which a job has one at most.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -33,6 +33,7 @@
 	Sockets   int // descriptors that the process may hold; 0: not told
 	MemoryMB  int // memory that it may take; 0: not told
 	Known     scheduler.Table
+	Odd       error // of what is known, what cannot be used
 	Settings  settings.Settings
 }
 
@@ -163,6 +164,9 @@
 	err := n.step(scheduler.Began{Discovery: n.cfg.Discovery, Known: n.cfg.Known})
 	n.log.Info("serving", "name", n.cfg.Name, "listen", n.Addr().String(), "discovery", n.cfg.Discovery,
 		"regions", len(n.cfg.Known.Regions))
+	if n.cfg.Odd != nil {
+		n.log.Warn("the known service table is no use in part", "why", n.cfg.Odd)
+	}
 	n.serving.Add(1) // the acceptor counts as one, so that none is added behind the last
 	n.spawn(n.accept)
 	// It goes on until the clients have parted: a request that crosses their parting still
--- a/internal/node/region.go
+++ b/internal/node/region.go
@@ -195,6 +195,7 @@
 func (n *Node) linkWrote(m wrote) error {
 	next, e := m.conn.Wrote(m.err != nil, errors.Is(m.err, syscall.ECONNREFUSED))
 	if end, is := e.(scheduler.Ended); is && (m.err == errLeaves || m.err == errUnheard) {
+		n.log.Info("a routed task turned back", "txn", m.conn.id, "region", m.conn.addr, "why", m.err)
 		end.Outcome = dahliaford.Moot // the region is not at fault
 		e = end
 	}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -75,6 +75,9 @@
 	switch e := m.event.(type) {
 	case scheduler.TableRead:
 		heard := e.At
+		if late := n.now() - e.At; late > n.told.grace && n.told.grace > 0 {
+			n.log.Warn("a word of discovery is taken in late", "rev", e.Table.Rev, "ms", late/millisecond)
+		}
 		if m.watch == n.watch {
 			n.heard.Store(true)
 			if n.before != nil {
@@ -141,8 +144,11 @@
 		}
 		var t scheduler.Table
 		if line := bytes.TrimSpace(lines.Bytes()); len(line) > 0 {
-			if t, err = DecodeTable(line); err != nil {
+			var odd error
+			if t, odd, err = DecodeTable(line); err != nil {
 				return fmt.Errorf("%w: %w", errNoTable, err)
+			} else if odd != nil {
+				n.log.Warn("an entry of the service table is no use", "rev", t.Rev, "why", odd)
 			}
 			begun = true
 		}
--- /dev/null
+++ b/internal/rig/size_test.go
@@ -0,0 +1,94 @@
+package rig
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"dahliaford/internal/record"
+	"dahliaford/internal/standin"
+)
+
+// regionsOf starts so many regions, named by their batch.
+func regionsOf(t *testing.T, batch string, n int, scheduler func() string) []standin.Line {
+	t.Helper()
+	lines := make([]standin.Line, n)
+	for i := range lines {
+		uid := fmt.Sprintf("s-%s-%d", batch, i)
+		r, err := standin.NewRegion(uid, "127.0.0.1:0", scheduler, honest(1, i), func(record.Event) {})
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(r.Close)
+		lines[i] = standin.Line{UID: uid, Endpoint: r.Addr(), Zone: "north", Model: "m1", Group: i, State: "ready"}
+	}
+	return lines
+}
+
+// The program starts with 1,024 regions known and 1,024 schedulers in its settings, serves within
+// 32 MB and 256 descriptors, and goes on while all regions are replaced.
+func TestTheLargestFleet(t *testing.T) {
+	bin, addr := program(t), atomic.Value{}
+	addr.Store("127.0.0.1:1")
+	for _, size := range []int{10, 200, 1024} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			at := func() string { return addr.Load().(string) }
+			old := regionsOf(t, fmt.Sprint("old-", size), size, at)
+			discovery, err := standin.NewDiscovery("127.0.0.1:0", old...)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer discovery.Close()
+			began := time.Now()
+			p, err := StartSetup(bin, t.TempDir(), Setup{Name: "n0", Listen: "127.0.0.1:0", Discovery: discovery.Addr(),
+				Schedulers: size, MemoryMB: 32, Sockets: 256, Known: old})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer p.Kill()
+			started := time.Since(began)
+			addr.Store(p.Addr)
+			served := func(batch string, n int) (sum int) {
+				for i := range n {
+					r, err := standin.Submit(p.Addr, standin.Submission{ID: fmt.Sprint(batch, "-", size, "-", i),
+						Class: "district-batch", Tenant: "sahel", Key: fmt.Sprint(batch, i),
+						Deadline: time.Now().Add(4 * time.Second)}, func(record.Event) {})
+					if err == nil && r.Status == 200 {
+						sum++
+					}
+				}
+				return sum
+			}
+			wait := func(what string, so func() bool) {
+				t.Helper()
+				for end := time.Now().Add(startWithin); !so(); time.Sleep(20 * time.Millisecond) {
+					if time.Now().After(end) {
+						t.Fatalf("in vain: %s", what)
+					}
+				}
+			}
+			wait("a first job", func() bool { return served("first", 1) == 1 })
+			if got := served("old", 40); got < 36 {
+				t.Errorf("%d of 40 jobs served", got)
+			}
+			for i, line := range regionsOf(t, fmt.Sprint("new-", size), size, at) {
+				line.BootMs = time.Now().Add(-time.Minute).UnixMilli()
+				discovery.Set(line)
+				left := old[i]
+				left.State = "gone"
+				discovery.Set(left)
+			}
+			wait("a job after the replacement", func() bool { return served("second", 1) == 1 })
+			if got := served("new", 40); got < 36 {
+				t.Errorf("%d of 40 jobs served after all regions were replaced", got)
+			}
+			use, err := p.Use()
+			if err != nil || use.MostMB > 32 || use.Descriptors > 256 {
+				t.Errorf("%+v, %v", use, err)
+			}
+			t.Logf("%d: serving after %v, %.1f MB, %d descriptors, %d threads", size, started.Round(time.Millisecond),
+				use.MostMB, use.Descriptors, use.Threads)
+		})
+	}
+}
