End an idle connection with a refusal, so that a request which crosses the close is answered

Ruled out by a build that logs each failed read, each failed write and what lies in the socket just before the close: no failed read, no write failed but on health calls that the front had reset, nothing in the socket. So the request came between the last look at the connection and the close (internal/node/client.go, serve), some 20 us of processor time; 20 idle connections a scheduler and hundreds of restarts meet it now and then on a fast machine, too. No look can be late enough. Now an idle connection that we have had enough of ends with a 503 and Connection: close, written unasked: whoever has just sent a request has its answer, which is true, as nothing of it goes on. Also, client.go, write: an answer decided over a second after its deadline was not written at all, as the write deadline had passed by then. It counts from now.

Test: a request put between the last look and the close (seen failing: connection reset by peer).

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -32,8 +32,9 @@
 	fresh = 100 * time.Millisecond
 	// crossing is how long a connection that is to be closed is still read.
 	crossing = 100 * time.Millisecond
-	// writeSlack is how long after a deadline an answer is still being written.
-	writeSlack = time.Second
+	// writeSlack is how long after a deadline, and after its decision, an answer is still being
+	// written: who does not read it must not hold a connection for ever.
+	writeSlack = 5 * time.Second
 )
 
 // Messages of client connections to the loop.
@@ -108,6 +109,7 @@
 		select {
 		case err := <-next:
 			if err != nil {
+				c.farewell(err)
 				return
 			}
 		case <-c.ctx.Done():
@@ -123,6 +125,7 @@
 				c.conn.SetReadDeadline(time.Now().Add(crossing))
 			}
 			if err := <-next; err != nil {
+				c.farewell(err)
 				return
 			}
 			if c.rank.Load() == stranger { // it has begun: it gets the time that it had
@@ -341,11 +344,27 @@
 	}
 	b := http1.AppendResponse(make([]byte, 0, 256+len(body)), status,
 		[]http1.Field{{Name: "Retry-After", Value: retry}, {Name: "Connection", Value: connection}}, body)
-	c.conn.SetWriteDeadline(c.node.at(deadline).Add(writeSlack))
+	c.conn.SetWriteDeadline(latest(c.node.at(deadline), time.Now()).Add(writeSlack))
 	_, err := c.conn.Write(b)
 	return err == nil && !last
 }
 
+// farewell ends a connection that idles and that we have had enough of. A request may have come
+// since we last looked, and closing on it would lose it: nothing tells the two apart in time. So
+// it gets its answer before it is seen, a refusal, which is true, as nothing of it goes on. A
+// client that has sent nothing takes what comes unasked for an end of the connection.
+func (c *client) farewell(why error) {
+	if !errors.Is(why, os.ErrDeadlineExceeded) {
+		return // it has left by itself
+	}
+	c.write(c.node.now(), 503, true, "0", nil)
+	// Lest a reset goes before the answer. A stranger that said nothing takes no time but at a
+	// stop, when the front has just dealt it here: others wait for its slot.
+	if c.rank.Load() > stranger || c.node.draining.Load() {
+		c.linger()
+	}
+}
+
 // linger reads on for a moment after an answer to a request that was not read whole.
 // Closing at once would reset the connection, and the answer might never be seen.
 func (c *client) linger() {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -484,6 +484,7 @@
 			idle send GET /_health
 			idle expect 200
 			node send stop
+			idle expect 503 after 0 close
 			idle expect end
 			front send GET /_health
 			front expect 503
@@ -630,6 +631,7 @@
 		ms send POST /post/7 | X-Txn: a | X-Remaining-Ms: +5 || work
 		ms expect 400 malformed X-Remaining-Ms
 		mute send part
+		mute expect 503 after 0 close
 		mute expect end
 		half expect 408 close
 		body expect 408 close
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -59,6 +60,61 @@
 	}
 }
 
+// late is a connection on which a request comes between the last look at it and the close.
+type late struct {
+	net.Conn
+	looked chan struct{}
+	come   chan struct{}
+}
+
+func (l *late) Read(b []byte) (int, error) {
+	n, err := l.Conn.Read(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		l.looked <- struct{}{}
+		<-l.come
+	}
+	return n, err
+}
+
+// A request that comes between the last look at an idle connection and its close gets an answer:
+// on a busy machine a thousand such closes at a restart of many meet some.
+func TestARequestBetweenLastLookAndCloseIsAnswered(t *testing.T) {
+	w := newWorld(t, 0, "r1")
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	theirs, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer theirs.Close()
+	ours, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn := &late{ours, make(chan struct{}), make(chan struct{})}
+	w.node.slots <- struct{}{}
+	w.node.serving.Add(1)
+	c := newClient(w.node, conn)
+	go c.serve()
+	c.release()
+	<-conn.looked
+	if _, err := io.WriteString(theirs, "POST /post/7 HTTP/1.1\r\nX-Txn: a1\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	conn.come <- struct{}{}
+	theirs.SetReadDeadline(time.Now().Add(patience))
+	read := http1.NewReader(theirs)
+	if r, err := read.Response(); err != nil || r.Status != 503 || !r.Close {
+		t.Errorf("got %v, %v", r, err)
+	}
+	if _, err := read.Response(); err == nil {
+		t.Error("the connection goes on")
+	}
+}
+
 // A client's reader without processor time finds its deadline and a request together.
 func TestADeadlineDoesNotPassOverARequest(t *testing.T) {
 	ours, theirs := pair(t)
