Open a watch where lists are pushed, too: without one no drain was ever heard

The module asks for the list only where the settings say `on_request` (dispatcher.go, Step, Began), and nobody else opened a watch: with `pushed` the table of the start held for ever, drains and all. Now node.Listen has the module ask in either case; belief in what was heard, its age and the last look before a send hold there, too. Test: a node with pushed lists opens a watch, and again after it broke (it failed before: nobody called within 20 s).

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -96,6 +96,8 @@
 
 // Listen opens the client address. Nothing is accepted until Run.
 func Listen(cfg Config, log *slog.Logger) (*Node, error) {
+	// On sockets a list that is pushed comes over a watch, too, which somebody has to open.
+	cfg.Settings.Module.AskForList = true
 	cfg.Settings.Module.ToldWithin = scheduler.Micros(toldWithin / time.Microsecond)
 	sched, err := scheduler.New(cfg.Settings, cfg.Seed)
 	if err != nil {
@@ -112,11 +114,7 @@
 	n := &Node{cfg: cfg, log: log, listener: listener, inbox: make(chan any, inboxSize), start: time.Now(),
 		sched: sched, clients: map[*client]bool{}, callers: map[scheduler.Caller]*client{},
 		links: map[string][]*regionConn{}, tasks: map[scheduler.Task]*regionConn{}, mostOpen: usable / regionPart}
-	within := scheduler.Micros(0)
-	if cfg.Settings.Module.AskForList {
-		within = cfg.Settings.Module.ToldWithin
-	}
-	n.told = newTold(cfg.Settings.DrainGrace, within)
+	n.told = newTold(cfg.Settings.DrainGrace, cfg.Settings.Module.ToldWithin)
 	if n.keptFor = keptFor; cfg.Settings.Module.LargeFleet() {
 		n.keptFor = keptInFleet
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -116,7 +116,7 @@
 	n.told.mu.Lock()
 	n.told.posted++
 	n.told.mu.Unlock()
-	n.watchSaid(tableWord{n.watch, scheduler.TableRead{At: n.now() + scheduler.Micros(span.Microseconds())}})
+	n.watchSaid(tableWord{watch: n.watch, event: scheduler.TableRead{At: n.now() + scheduler.Micros(span.Microseconds())}})
 }
 
 func regionLine(name, addr string) string {
@@ -764,7 +764,7 @@
 		t.Error("ready before discovery was heard")
 	}
 	n.timer, n.watch = time.NewTimer(time.Hour), &watch{}
-	n.handle(tableWord{n.watch, scheduler.TableLost{}})
+	n.handle(tableWord{watch: n.watch, event: scheduler.TableLost{}})
 	if n.ready() {
 		t.Error("ready though discovery did not answer")
 	}
--- a/internal/node/told_test.go
+++ b/internal/node/told_test.go
@@ -152,7 +152,7 @@
 	n.do(func() {
 		leaves := scheduler.Region{UID: first, Addr: w.parties[first].listener.Addr().String(), Zone: "north",
 			Kind: "m1", Status: dahliaford.Draining}
-		n.watchSaid(tableWord{n.watch, scheduler.TableRead{Table: scheduler.Table{Rev: 5,
+		n.watchSaid(tableWord{watch: n.watch, event: scheduler.TableRead{Table: scheduler.Table{Rev: 5,
 			Regions: []scheduler.Region{leaves}}, At: n.now() + 3600*second}})
 	})
 	play(t, w, other+" expect POST /post/7?a=b txn=a1 key=k body=work")
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -35,6 +35,7 @@
 type tableWord struct {
 	watch *watch
 	event scheduler.Event
+	read  scheduler.Micros // when; 0: nothing was
 }
 
 // watch is one watch of the service table.
@@ -59,14 +60,14 @@
 		defer release()
 		err := n.follow(ctx, w, func(e scheduler.TableRead, t *tap) {
 			e.At = n.told.post(t, n.now())
-			n.post(tableWord{own, e})
+			n.post(tableWord{own, e, n.now()})
 		})
 		if ctx.Err() != nil {
 			err = nil // it was let go
 		} else {
 			n.log.Warn("watch of the service table lost", "error", err)
 		}
-		n.post(tableWord{own, scheduler.TableLost{Unread: errors.Is(err, errNoTable)}})
+		n.post(tableWord{watch: own, event: scheduler.TableLost{Unread: errors.Is(err, errNoTable)}})
 	})
 }
 
@@ -75,7 +76,7 @@
 	switch e := m.event.(type) {
 	case scheduler.TableRead:
 		heard := e.At
-		if late := n.now() - e.At; late > n.told.grace && n.told.grace > 0 {
+		if late := n.now() - m.read; m.read != 0 && late > n.told.grace/2 && n.told.grace > 0 {
 			n.log.Warn("a word of discovery is taken in late", "rev", e.Table.Rev, "ms", late/millisecond)
 		}
 		if m.watch == n.watch {
--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"dahliaford/internal/scheduler"
+	"dahliaford/internal/settings"
 )
 
 // lines is a log that tests read.
@@ -166,3 +167,35 @@
 		t.Errorf("changes count as told after %v, silence shows after %v", within, silentFor)
 	}
 }
+
+// Where lists are pushed they come over a watch as well: without one no drain is ever heard.
+func TestPushedListsAreWatched(t *testing.T) {
+	set, err := settings.Parse([]byte(strings.Replace(testSettings, "on_request", "pushed", 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	n, err := Listen(Config{Listen: "127.0.0.1:0", Settings: set, Discovery: l.Addr().String()},
+		slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	go func() { done <- n.Run() }()
+	for range 2 { // once more after it broke
+		l.(*net.TCPListener).SetDeadline(time.Now().Add(patience))
+		conn, err := l.Accept()
+		if err != nil {
+			t.Fatal("discovery is not asked: ", err)
+		}
+		conn.Close()
+	}
+	n.Stop()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
