--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -254,10 +254,10 @@
 	}
 	const mostMs = 1 << 40          // keeps the sum from running over
 	early := 2 * n.lag.now(n.now()) // it lay unread for that long, and its answer is as late
-	s := scheduler.Submitted{Caller: scheduler.Caller(lastCaller.Add(1)), ID: id,
-		Class: class(r), Tenant: r.Header.Get("X-Org"), Deadline: at + scheduler.Micros(min(ms, mostMs))*1000 - early,
-		Slots: slots, Repeat: r.Header.Get("X-Resent") == "1", Payload: &payload{method: r.Method, target: r.Target,
-			key: r.Header.Get("Idempotency-Key"), body: r.Body}}
+	s := scheduler.Submitted{Caller: scheduler.Caller(lastCaller.Add(1)), ID: id, Class: class(r),
+		Tenant: r.Header.Get("X-Org"), Deadline: at + scheduler.Micros(min(ms, mostMs))*1000 - early,
+		Slots: slots, Repeat: r.Header.Get("X-Resent") == "1", Payload: &payload{method: r.Method,
+			target: r.Target, key: r.Header.Get("Idempotency-Key"), body: r.Body}}
 	n.post(submission{c, n.now(), s})
 	next = c.begin()
 	var answer scheduler.Answer
@@ -287,7 +287,7 @@
 	}
 	last := r.Close || answer.Last || c.ctx.Err() != nil || len(n.slots) == cap(n.slots)
 	goOn = c.write(s.Deadline, statuses[answer.Verdict], last, advice(answer), answer.Body)
-	if late := n.now() - s.Deadline - early; late > 0 {
+	if late := n.now() - s.Deadline - early; late > millisecond {
 		n.log.Warn("an answer is late", "txn", id, "ms", late/millisecond, "read_ms_ago", (n.now()-at)/millisecond)
 	}
 	return next, goOn
--- a/internal/node/region.go
+++ b/internal/node/region.go
@@ -149,8 +149,8 @@
 }
 
 func (n *Node) route(r scheduler.Route) {
-	l, ok := n.assign(r.Addr, errand{task: r.Task, id: r.ID, uid: r.UID, writeBy: r.WriteBy, deadline: r.Deadline,
-		payload: r.Payload.(*payload)})
+	l, ok := n.assign(r.Addr, errand{task: r.Task, id: r.ID, uid: r.UID, writeBy: r.WriteBy,
+		deadline: r.Deadline, payload: r.Payload.(*payload)})
 	if !ok {
 		n.log.Warn("short on connections: a routed task is not sent", "txn", r.ID, "region", r.UID)
 		n.later(scheduler.Ended{Task: r.Task, Outcome: dahliaford.ConnectFailed})
--- a/internal/node/told.go
+++ b/internal/node/told.go
@@ -161,7 +161,10 @@
 		return true
 	}
 	if wait := p.conn.Read(take); wait != nil {
-		if !errors.Is(wait, os.ErrDeadlineExceeded) || p.conn.Control(func(fd uintptr) { take(fd) }) != nil || !ready {
+		if errors.Is(wait, os.ErrDeadlineExceeded) {
+			p.conn.Control(func(fd uintptr) { take(fd) })
+		}
+		if !ready {
 			return 0, wait
 		}
 	}
--- a/internal/rig/process.go
+++ b/internal/rig/process.go
@@ -75,9 +75,10 @@
 func StartSetup(bin, folder string, setup Setup) (*Process, error) {
 	name := setup.Name
 	raw, err := json.Marshal(map[string]any{"name": name, "listen": setup.Listen, "discovery": setup.Discovery,
-		"seed":   "1d",
-		"limits": map[string]any{"cores": 1, "memory_mb": setup.MemoryMB, "sockets": setup.Sockets},
-		"known":  map[string]any{"rev": 0, "all": true, "targets": setup.Known}, "settings": settings(setup.Schedulers)})
+		"seed":     "1d",
+		"limits":   map[string]any{"cores": 1, "memory_mb": setup.MemoryMB, "sockets": setup.Sockets},
+		"known":    map[string]any{"rev": 0, "all": true, "targets": setup.Known},
+		"settings": settings(setup.Schedulers)})
 	if err != nil {
 		return nil, err
 	}
