Sort the regions once a word, and drop an argument, branches and a copied set-up left behind

Read-through of the last changes; behaviour is meant to stay as it is. - apply and mark each sorted all regions for every word, heartbeats too: mark takes the list. - turn had an argument that was 1 at both calls. - The listener is a TCP listener always, as net.Listen is asked for one: the three branches for any other kind could never run. - A test dialled and accepted by hand what `pair` does; a watch that was let go cleared its error to be passed over, and an old word had its time reckoned for nothing.

--- a/dispatcher.go
+++ b/dispatcher.go
@@ -75,7 +75,7 @@
 	case Began:
 		d.born = now
 		if d.set.AskForList {
-			if d.askAt = d.now + d.turn(1); d.askAt == d.now {
+			if d.askAt = d.now + d.turn(); d.askAt == d.now {
 				d.ask()
 			}
 		}
@@ -1034,7 +1034,7 @@
 			wait := Micros(float64(second) / 2 * (1 + d.random.chance()))
 			wait = min(wait<<min(d.askFails, 6), d.set.AskWithin/3)
 			d.askFails++
-			d.askAt = d.now + wait + d.turn(1)
+			d.askAt = d.now + wait + d.turn()
 			d.log("the worker list does not answer: the last one is used")
 		}
 		return
--- a/estimates.go
+++ b/estimates.go
@@ -362,13 +362,13 @@
 // turn is a wait by chance before the list is asked for, so that not all ask at once: calls that
 // wait too long there fail, and cost it as much. While what was heard last holds there is time
 // until then, less what a call may take. Otherwise nothing can be sent, and it is short.
-func (d *Dispatcher) turn(longer float64) Micros {
+func (d *Dispatcher) turn() Micros {
 	if !d.set.LargeFleet() {
 		return 0
 	}
 	left := float64(d.listedAt + d.set.ToldWithin - d.now - second)
 	longest := max(left, min(callTime*float64(d.set.Balancers), float64(d.set.AskWithin)/5))
-	return Micros(d.random.chance() * longer * longest)
+	return Micros(d.random.chance() * longest)
 }
 
 // outdated tells whether any worker may have been told to drain unheard (rule 3). What there
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,7 +58,7 @@
 type Node struct {
 	cfg      Config
 	log      *slog.Logger
-	listener net.Listener
+	listener *net.TCPListener
 	inbox    chan any // scheduler.Event or a message of this package
 	start    time.Time
 	epoch    scheduler.Micros
@@ -111,8 +111,9 @@
 		cfg.Sockets = defaultSockets
 	}
 	usable := max(cfg.Sockets, leastSockets) - spareSockets
-	n := &Node{cfg: cfg, log: log, listener: listener, inbox: make(chan any, inboxSize), start: time.Now(),
-		sched: sched, clients: map[*client]bool{}, callers: map[scheduler.Caller]*client{},
+	n := &Node{cfg: cfg, log: log, listener: listener.(*net.TCPListener),
+		inbox: make(chan any, inboxSize), start: time.Now(), sched: sched,
+		clients: map[*client]bool{}, callers: map[scheduler.Caller]*client{},
 		links: map[string][]*regionConn{}, tasks: map[scheduler.Task]*regionConn{}, mostOpen: usable / regionPart}
 	n.told = newTold(cfg.Settings.DrainGrace, cfg.Settings.Module.ToldWithin)
 	if n.keptFor = keptFor; cfg.Settings.Module.LargeFleet() {
@@ -217,11 +218,7 @@
 	n.leave, n.parted = leave, parted
 	time.AfterFunc(time.Until(by), func() { close(leave) })
 	n.parting.Store(true)
-	if l, ok := n.listener.(*net.TCPListener); ok {
-		l.SetDeadline(time.Now()) // wakes the acceptor
-	} else {
-		n.listener.Close()
-	}
+	n.listener.SetDeadline(time.Now()) // wakes the acceptor
 	for c := range n.clients {
 		c.release()
 	}
@@ -447,7 +444,7 @@
 			case n.ctx.Err() != nil || isClosed(err):
 				return
 			case n.parting.Load() && errors.Is(err, os.ErrDeadlineExceeded):
-				n.listener.(*net.TCPListener).SetDeadline(time.Time{})
+				n.listener.SetDeadline(time.Time{})
 				continue
 			}
 			n.log.Warn("cannot accept", "error", err)
@@ -465,11 +462,7 @@
 
 // queued tells whether somebody waits to be accepted.
 func (n *Node) queued() bool {
-	l, ok := n.listener.(*net.TCPListener)
-	if !ok {
-		return false
-	}
-	raw, err := l.SyscallConn()
+	raw, err := n.listener.SyscallConn()
 	if err != nil {
 		return false
 	}
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -80,20 +80,7 @@
 // on a busy machine a thousand such closes at a restart of many meet some.
 func TestARequestBetweenLastLookAndCloseIsAnswered(t *testing.T) {
 	w := newWorld(t, 0, "r1")
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer l.Close()
-	theirs, err := net.Dial("tcp", l.Addr().String())
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer theirs.Close()
-	ours, err := l.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
+	ours, theirs := pair(t)
 	conn := &late{ours, make(chan struct{}), make(chan struct{})}
 	w.node.slots <- struct{}{}
 	w.node.serving.Add(1)
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -62,12 +62,12 @@
 			e.At = n.told.post(t, n.now())
 			n.post(tableWord{own, e, n.now()})
 		})
-		if ctx.Err() != nil {
-			err = nil // it was let go
-		} else {
+		lost := scheduler.TableLost{}
+		if ctx.Err() == nil { // else it was let go
 			n.log.Warn("watch of the service table lost", "error", err)
+			lost.Unread = errors.Is(err, errNoTable)
 		}
-		n.post(tableWord{watch: own, event: scheduler.TableLost{Unread: errors.Is(err, errNoTable)}})
+		n.post(tableWord{watch: own, event: lost})
 	})
 }
 
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -557,14 +557,14 @@
 // ---- The service table
 
 func (s *Scheduler) tableRead(e *TableRead) {
-	at := e.At
-	if at == 0 {
-		at = s.now
-	}
 	if e.Old {
 		s.warned(e.Table)
 		return
 	}
+	at := e.At
+	if at == 0 {
+		at = s.now
+	}
 	s.watching, s.knownAt = true, at
 	scope := dahliaford.ListDelta
 	if e.Table.All {
@@ -593,7 +593,7 @@
 		}
 	}
 	if len(e.Workers) > 0 {
-		s.mark()
+		s.mark(sorted(s.regions))
 		s.tell(e)
 	}
 }
@@ -620,7 +620,8 @@
 		}
 		e.Workers = append(e.Workers, s.entry(r)) // as it now is known
 	}
-	for _, r := range sorted(s.regions) {
+	all := sorted(s.regions)
+	for _, r := range all {
 		switch {
 		case t.All && !named[r.UID] && r.Status != dahliaford.Gone:
 			r.Status, r.at, r.offer = dahliaford.Gone, now, nil
@@ -631,7 +632,7 @@
 		}
 		e.Workers = append(e.Workers, s.entry(r))
 	}
-	s.mark()
+	s.mark(all)
 	s.tell(e)
 }
 
@@ -659,9 +660,9 @@
 
 // mark notes since when regions are leaving or gone, says so, and forgets those that have been
 // gone for long.
-func (s *Scheduler) mark() {
+func (s *Scheduler) mark(all []*region) {
 	long := s.set.Module.GoneFor()
-	for _, r := range sorted(s.regions) {
+	for _, r := range all {
 		switch {
 		case r.Status != dahliaford.Ready && r.left == 0:
 			r.left = max(s.now, 1)
