Forget clients that leave while they wait: they used up the room for all others

Cause: node.callers lost an entry only with an Answer, and a client that leaves gets none (node.go, carryOut). handle refuses every job once len(callers) >= cap(slots)-reserve, so a scheduler with 256 descriptors refused all jobs for good after 147 clients had left waiting; each also kept its connection's buffers in memory.

Change: CallerLeft takes the entry out, at the one place where the loop hears of it.

Measured: TestClientsThatLeaveAreForgotten has as many clients leave as there are slots; without the mend it fails at the first ("the jobs did not all come", the table never empties), with it the tests of the package pass twice.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -272,6 +272,9 @@
 		n.open--
 	case tableWord:
 		return n.watchSaid(m)
+	case scheduler.CallerLeft:
+		delete(n.callers, m.Caller) // no answer follows that would
+		return n.step(m)
 	case scheduler.Event:
 		return n.step(m)
 	case func(): // a look at what the loop owns, for tests
