See a client leave behind what it sent ahead, and never send what waits for nobody

Cause, found by reading and shown by the tests: client.go, submit, set its watch of the connection to nil once a further request had begun to come. Nobody saw such a client go, its waiting job was sent on, and the next of its requests was read from the buffer and submitted for nobody. And a leave took back only what may be cancelled: dispatcher.go, close, asks MayCancel, so where the settings forbid that, a task still waiting for its connect or for a word of discovery was written later.

Change: what comes ahead of an answer is read on, at most 16 KB (then 400, a close, and the job counts as left), so the end of the connection shows. Before a submission one look without waiting takes in an end that lies in the socket behind the request. Unsend, a new effect, keeps back a task of which no byte has left (the gate between loop and writer decides); what has left goes on.

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -35,6 +36,9 @@
 	// writeSlack is how long after a deadline, and after its decision, an answer is still being
 	// written: who does not read it must not hold a connection for ever.
 	writeSlack = 5 * time.Second
+	// mostAhead is how many bytes a client may send ahead of an answer, beyond what a read takes at
+	// once. One request at a time is the rule; what comes early is read so that its end is seen.
+	mostAhead = http1.MaxHead
 )
 
 // Messages of client connections to the loop.
@@ -62,6 +66,7 @@
 type client struct {
 	node    *Node
 	conn    net.Conn
+	in      *inbound
 	read    *http1.Reader
 	answers chan scheduler.Answer
 	ctx     context.Context // ends when the connection should close once it idles
@@ -81,7 +86,8 @@
 )
 
 func newClient(n *Node, conn net.Conn) *client {
-	c := &client{node: n, conn: conn, read: http1.NewReader(thorough(conn))}
+	c := &client{node: n, conn: conn, in: newInbound(conn)}
+	c.read = http1.NewReader(c.in)
 	c.answers = make(chan scheduler.Answer, 1)
 	c.read.Continue = func() {
 		conn.SetWriteDeadline(time.Now().Add(writeSlack))
@@ -252,6 +258,9 @@
 		}
 		return c.begin(), true
 	}
+	if err := c.in.look(); err != nil { // it left right behind its request, or sent too much
+		return nil, c.over(at, err)
+	}
 	const mostMs = 1 << 40          // keeps the sum from running over
 	early := 2 * n.lag.now(n.now()) // it lay unread for that long, and its answer is as late
 	s := scheduler.Submitted{Caller: scheduler.Caller(lastCaller.Add(1)), ID: id, Class: class(r),
@@ -261,31 +270,39 @@
 	n.post(submission{c, n.now(), s})
 	next = c.begin()
 	var answer scheduler.Answer
-	ahead := next
-	for answered := false; !answered; {
+	var ahead chan error // ends with what is read on behind the next request
+	for leave, answered := next, false; !answered; {
 		select {
 		case answer = <-c.answers:
 			answered = true
-		case err := <-ahead:
+		case err := <-leave:
 			if err != nil {
 				n.post(scheduler.CallerLeft{Caller: s.Caller})
-				return nil, false
+				return nil, c.over(at, err)
 			}
-			// The next request came before this one's answer: it waits its turn.
+			// The next request came before this one's answer: it waits its turn. Its bytes must
+			// not hide the end of the connection, so what follows is read on.
 			ready := make(chan error, 1)
 			ready <- nil
-			ahead, next = nil, ready
+			ahead = make(chan error, 1)
+			n.spawn(func() { ahead <- c.in.ahead() })
+			next, leave = ready, ahead
 		case <-n.ctx.Done():
 			return nil, false
 		}
 	}
+	last := r.Close || answer.Last || c.ctx.Err() != nil || len(n.slots) == cap(n.slots)
+	if ahead != nil { // nobody else may read until it has ended
+		c.conn.SetReadDeadline(time.Now())
+		last = !errors.Is(<-ahead, os.ErrDeadlineExceeded) || last
+		c.conn.SetReadDeadline(time.Time{})
+	}
 	if answer.Verdict < scheduler.Invalid {
 		c.rank.Store(customer)
 	}
 	if answer.Verdict == scheduler.Invalid || answer.Verdict == scheduler.Conflict {
 		answer.Body = append(answer.Body, '\n') // a line for whoever reads it
 	}
-	last := r.Close || answer.Last || c.ctx.Err() != nil || len(n.slots) == cap(n.slots)
 	goOn = c.write(s.Deadline, statuses[answer.Verdict], last, advice(answer), answer.Body)
 	if late := n.now() - s.Deadline - early; late > millisecond {
 		n.log.Warn("an answer is late", "txn", id, "ms", late/millisecond, "read_ms_ago", (n.now()-at)/millisecond)
@@ -383,31 +400,98 @@
 	c.release()
 }
 
-// stubborn reads a connection whose deadline is over as long as something has come: a reader
-// that had no processor time finds both at once, and what the machine has taken must be read.
-type stubborn struct {
-	net.Conn
-	raw syscall.RawConn
+// over ends a connection whose client has left, or has sent more than is kept for it.
+func (c *client) over(at scheduler.Micros, why error) (goOn bool) {
+	if why == errAhead {
+		c.node.log.Warn("bad request", "from", c.conn.RemoteAddr().String(), "why", errAhead.Error())
+		c.write(at, 400, true, "", []byte(errAhead.Error()+"\n"))
+		c.linger()
+	}
+	return false
 }
 
-func thorough(conn net.Conn) io.Reader {
+var errAhead = errors.New("too much was sent ahead of an answer")
+
+// inbound reads a client's connection. It reads on past a deadline as long as something has come: a
+// reader that had no processor time finds both at once, and what the machine has taken must be read.
+type inbound struct {
+	conn net.Conn
+	raw  syscall.RawConn // nil: not a socket
+	kept []byte          // read ahead
+}
+
+func newInbound(conn net.Conn) *inbound {
+	in := &inbound{conn: conn}
 	if s, ok := conn.(syscall.Conn); ok {
-		if raw, err := s.SyscallConn(); err == nil {
-			return &stubborn{conn, raw}
+		in.raw, _ = s.SyscallConn()
+	}
+	return in
+}
+
+func (in *inbound) Read(b []byte) (n int, err error) {
+	if len(in.kept) > 0 {
+		n = copy(b, in.kept)
+		if in.kept = in.kept[n:]; len(in.kept) == 0 {
+			in.kept = nil
 		}
+		return n, nil
 	}
-	return conn
+	return in.read(b)
 }
 
-func (s *stubborn) Read(b []byte) (n int, err error) {
-	if n, err = s.Conn.Read(b); n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+func (in *inbound) read(b []byte) (n int, err error) {
+	if n, err = in.conn.Read(b); n > 0 || in.raw == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 		return n, err
 	}
-	s.raw.Control(func(fd uintptr) { n, _ = receive(fd, b, 0) })
+	in.raw.Control(func(fd uintptr) { n, _ = receive(fd, b, 0) })
 	if n > 0 {
 		return n, nil
 	}
 	return 0, err
 }
 
+// ahead reads on until the connection's end, or its deadline, and keeps what comes.
+func (in *inbound) ahead() error {
+	for {
+		if err := in.keep(in.read); err != nil {
+			return err
+		}
+	}
+}
+
+// look takes in what has come without waiting for more. It tells whether the client has left.
+func (in *inbound) look() (err error) {
+	if in.raw == nil {
+		return nil
+	}
+	at := func(b []byte, flags int) (n int, err error) {
+		wrong := in.raw.Control(func(fd uintptr) {
+			if n, err = receive(fd, b, flags); n == 0 && err == nil {
+				err = io.EOF
+			}
+		})
+		return n, cmp.Or(wrong, err)
+	}
+	var one [1]byte
+	if _, err = at(one[:], syscall.MSG_PEEK); err == nil { // seldom: clients wait for their answer
+		for err == nil {
+			err = in.keep(func(b []byte) (int, error) { return at(b, 0) })
+		}
+	}
+	if errors.Is(err, syscall.EAGAIN) {
+		return nil
+	}
+	return err
+}
+
+func (in *inbound) keep(read func([]byte) (int, error)) error {
+	if len(in.kept) >= mostAhead {
+		return errAhead
+	}
+	var b [2 << 10]byte
+	n, err := read(b[:])
+	in.kept = append(in.kept, b[:n]...)
+	return err
+}
+
 func isClosed(err error) bool { return errors.Is(err, net.ErrClosed) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -322,6 +322,8 @@
 		n.route(e)
 	case scheduler.Abandon:
 		n.abandon(e.Task)
+	case scheduler.Unsend:
+		n.unsend(e.Task)
 	case scheduler.Withdraw:
 		n.withdraw(e)
 	case scheduler.Answer:
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -70,7 +70,12 @@
 
 func newWorld(t *testing.T, sockets int, regions ...string) *world {
 	t.Helper()
-	set := parsed(t)
+	return newWorldOf(t, parsed(t), sockets, regions...)
+}
+
+// newWorldOf is a world with settings of its own.
+func newWorldOf(t *testing.T, set settings.Settings, sockets int, regions ...string) *world {
+	t.Helper()
 	w := &world{done: make(chan error, 1), parties: map[string]*party{}}
 	var lines []string
 	for _, name := range regions {
@@ -120,6 +125,11 @@
 	n.watchSaid(tableWord{watch: n.watch, event: scheduler.TableRead{At: until}})
 }
 
+// deaf lets nothing that a node knows of the table hold.
+func (n *Node) deaf() {
+	n.watchSaid(tableWord{watch: n.watch, event: scheduler.TableLost{Unread: true}})
+}
+
 func regionLine(name, addr string) string {
 	return `{"uid":"` + name + `","endpoint":"` + addr + `","az":"north","model":"m1","state":"ready"}`
 }
--- a/internal/node/region.go
+++ b/internal/node/region.go
@@ -177,6 +177,15 @@
 	n.drop(c)
 }
 
+// unsend keeps back a task of which nothing has left yet.
+func (n *Node) unsend(task scheduler.Task) {
+	if c := n.tasks[task]; c != nil && c.gate.CompareAndSwap(gateOpen, gateShut) {
+		delete(n.tasks, task)
+		n.drop(c)
+		n.later(scheduler.Ended{Task: task, Outcome: dahliaford.Moot})
+	}
+}
+
 func (n *Node) withdraw(w scheduler.Withdraw) {
 	if n.unsent == w.Task {
 		n.later(scheduler.Withdrawn{Task: w.Task, Reached: true})
--- a/internal/node/stop_test.go
+++ b/internal/node/stop_test.go
@@ -105,11 +105,11 @@
 // A client's reader without processor time finds its deadline and a request together.
 func TestADeadlineDoesNotPassOverARequest(t *testing.T) {
 	ours, theirs := pair(t)
-	read := thorough(ours)
+	read := newInbound(ours)
 	if _, err := io.WriteString(theirs, "request"); err != nil {
 		t.Fatal(err)
 	}
-	look := &tap{conn: read.(*stubborn).raw}
+	look := &tap{conn: read.raw}
 	for look.empty() {
 		time.Sleep(time.Millisecond)
 	}
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -142,6 +142,9 @@
 	}
 	// Abandon breaks the connection that a routed task, or its withdrawal, is on.
 	Abandon struct{ Task Task }
+	// Unsend keeps back a routed task that nobody waits for, if nothing of it has left yet; then
+	// Ended follows. It is no withdrawal: what has left goes on.
+	Unsend struct{ Task Task }
 	// Withdraw tells a region to drop a task that it may hold. Withdrawn must follow. If
 	// it comes with Abandon and nothing of the task ever got out, nobody need be told.
 	Withdraw struct {
@@ -183,6 +186,7 @@
 
 func (Route) effect()    {}
 func (Abandon) effect()  {}
+func (Unsend) effect()   {}
 func (Withdraw) effect() {}
 func (Answer) effect()   {}
 func (Wake) effect()     {}
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -350,8 +350,11 @@
 func (s *Scheduler) settle(t *transaction) {
 	t.answered = true
 	delete(s.byCaller, t.caller)
-	if n := len(t.tasks); n == 0 || t.tasks[n-1].ended {
+	n := len(t.tasks)
+	if n == 0 || t.tasks[n-1].ended {
 		s.release(t)
+	} else if !s.set.Module.MayCancel { // else the module calls it off
+		s.emit(Unsend{Task: t.tasks[n-1].number}) // of a parked one, heard sees that nobody waits
 	}
 }
 
