End before the kill whatever the deadlines are, and give back what an endless answer holds

Causes, by reading, each shown by a test: - scheduler.go, stop: it waited for withdrawals until stopAt + recallOn, 2.6 s after SIGTERM, whatever endBy was. With deadlines under 1.9 s the kill comes first, and clients send on until then. Exit.By was the very instant of the kill. Now withdrawals are waited for until 0.3 s before the kill at most, and connections end 0.1 s before it. - scheduler.go, told: a task that ended by callback before its 202 was forgotten, and nothing timed its connection any more. A region whose answer never ends kept it and its entry in node.tasks; a quarter of the descriptors later nothing was sent. Now the connection is abandoned with the task (endTold).

Two planted faults follow the renamed call.

--- a/internal/explore/planted/planted.go
+++ b/internal/explore/planted/planted.go
@@ -54,8 +54,8 @@
 				" called-back",
 			File: reducer,
 			Edits: []string{
-				"s.end(k, dahliaford.Returned, e.Report)",
-				"s.end(k, dahliaford.Full, e.Report)",
+				"s.endTold(k, dahliaford.Returned, e.Report)",
+				"s.endTold(k, dahliaford.Full, e.Report)",
 			},
 		},
 		{
@@ -101,9 +101,9 @@
 			File:  reducer,
 			Edits: []string{
 				"\t\ts.answer(t, Answer{Verdict: Served, Body: e.Result})\n" +
-					"\t\ts.end(",
+					"\t\ts.endTold(",
 				"\t\ts.emit(Answer{Caller: t.caller, Verdict: Served, Body: e.Result})\n" +
-					"\t\ts.end(",
+					"\t\ts.endTold(",
 			},
 		},
 		{
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -19,10 +19,12 @@
 	serveOn = 600 * millisecond
 	// killedAfter is the least time from the request to end to the kill, beyond the longest
 	// deadline; that counts as longestKept where it is longer. Who still waits is answered
-	// lastCall before that: a kill would leave them without an answer.
+	// lastCall before that: a kill would leave them without an answer. Then their connections end
+	// within parting, and the rest is for a program without processor time.
 	killedAfter = 700 * millisecond
 	longestKept = 3 * second
 	lastCall    = 300 * millisecond
+	parting     = 200 * millisecond
 	// answerWithin is how long a region may take to answer a withdrawal.
 	answerWithin = second
 	// recallAgain is the first wait before a withdrawal that did not get through is tried
@@ -32,7 +34,8 @@
 	// recallFor is how long it is tried at all. Then the region has what it was told when
 	// it got the task: how long anybody would wait.
 	recallFor = 15 * second
-	// recallOn is how long a stopping scheduler that owes no answer goes on for that.
+	// recallOn is how long a stopping scheduler that owes no answer goes on for that, if it may. Its
+	// clients send on as long as it is there, so never until the kill.
 	recallOn = 2 * second
 )
 
@@ -244,7 +247,7 @@
 			s.stopAt, s.endBy = now+serveOn, now+min(s.longest, longestKept)+killedAfter-lastCall
 			heap.Push(&s.due, due{at: s.stopAt})
 			heap.Push(&s.due, due{at: s.endBy})
-			heap.Push(&s.due, due{at: s.stopAt + recallOn})
+			heap.Push(&s.due, due{at: s.recallEnd()})
 		}
 	}
 	s.expire()
@@ -390,16 +393,25 @@
 		s.tell(note)
 	case NewsDone:
 		s.answer(t, Answer{Verdict: Served, Body: e.Result})
-		s.end(k, dahliaford.OK, e.Report)
+		s.endTold(k, dahliaford.OK, e.Report)
 	case NewsFailed:
-		s.end(k, dahliaford.Failed, e.Report)
+		s.endTold(k, dahliaford.Failed, e.Report)
 	case NewsReturned:
-		s.end(k, dahliaford.Returned, e.Report)
+		s.endTold(k, dahliaford.Returned, e.Report)
 	case NewsLost:
-		s.end(k, dahliaford.Reset, e.Report)
+		s.endTold(k, dahliaford.Reset, e.Report)
 	}
 }
 
+// endTold closes a routed task by its region's own word. Its connection may still wait for an
+// answer that never comes, or never ends, and from here on nothing times it.
+func (s *Scheduler) endTold(k *task, o dahliaford.Outcome, r dahliaford.Report) {
+	if !k.accepted {
+		s.emit(Abandon{Task: k.number})
+	}
+	s.end(k, o, r)
+}
+
 // end closes a routed task and tells the module how it went.
 func (s *Scheduler) end(k *task, o dahliaford.Outcome, r dahliaford.Report) {
 	s.forget(k)
@@ -849,11 +861,14 @@
 			s.tell(dahliaford.Event{Kind: dahliaford.ClientGone, Job: t.job})
 		}
 	}
-	if len(s.byCaller) == 0 && (len(s.recalls) == 0 || s.now >= s.stopAt+recallOn) {
-		s.emit(Exit{By: s.endBy + lastCall})
+	if len(s.byCaller) == 0 && (len(s.recalls) == 0 || s.now >= s.recallEnd()) {
+		s.emit(Exit{By: s.endBy + parting})
 	}
 }
 
+// recallEnd is until when a stopping scheduler waits for its regions to hear withdrawals.
+func (s *Scheduler) recallEnd() Micros { return min(s.stopAt+recallOn, s.endBy) }
+
 // arm asks to be woken for what comes due next. What no longer counts is left out.
 func (s *Scheduler) arm() {
 	for len(s.due) > 0 {
