Believe only a 202 on a region connection that is used again, and end it by anything else

Cause, by reading, shown by tests: link.go, Answered, passed over an answer that nobody asked for and kept the connection, so a second answer that comes late was taken for the next errand's. A repeated "turned away" set a running task free: TestASecondAnswerIsNotTheNextErrands without the mend sees "POST ... txn=a2" twice, a second copy of an unsafe job. An answer before the request was written whole put the connection back among the idle ones, too, with its writer at work.

Change: a connection goes back only after an accepted task written whole; there only a 202 is believed, anything else ends it as a reset (it may have run, its region is told to drop it). An answer while nobody asks ends the connection; one before anything of its task has left ends the task as never sent. Withdrawals have connections of their own. Idle ones are kept for half of the settings' conn_idle at most, which was not read before; where schedulers are few none is kept (50 ms before). At most 8 interim responses.

Scenarios about kept connections now run in a fleet, which keeps them.

--- a/internal/http1/http1.go
+++ b/internal/http1/http1.go
@@ -120,9 +120,12 @@
 	return &Response{Status: status, Header: header, Close: closes(header, version)}, nil
 }
 
+// mostInterim is how many interim responses are passed over before a final one.
+const mostInterim = 8
+
 // Response reads a response with its body, past any interim ones.
 func (m *Reader) Response() (*Response, error) {
-	for {
+	for range mostInterim + 1 {
 		r, err := m.Head()
 		if err != nil {
 			return nil, err
@@ -131,6 +134,7 @@
 			return r, m.Rest(r)
 		}
 	}
+	return nil, wrong(502, "over %d interim responses", mostInterim)
 }
 
 // Rest reads the body that follows the head of a final response.
--- a/internal/http1/http1_test.go
+++ b/internal/http1/http1_test.go
@@ -157,3 +157,14 @@
 		t.Errorf("%d bytes for a request that never came", got)
 	}
 }
+
+// Interim responses are passed over, but not without end.
+func TestInterimResponsesEnd(t *testing.T) {
+	const interim, final = "HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 202 OK\r\nContent-Length: 0\r\n\r\n"
+	for n, ok := range map[int]bool{0: true, mostInterim: true, mostInterim + 1: false} {
+		r, err := NewReader(strings.NewReader(strings.Repeat(interim, n) + final)).Response()
+		if (err == nil) != ok || ok && r.Status != 202 {
+			t.Errorf("%d interim responses: %v, %v", n, r, err)
+		}
+	}
+}
--- a/internal/link/link.go
+++ b/internal/link/link.go
@@ -16,6 +16,7 @@
 	Task     scheduler.Task // of the errand
 	Withdraw bool           // the errand takes the task back
 	Busy     bool           // an errand is on it
+	Used     bool           // it carried another one before
 	Written  bool           // the errand's last byte is out
 	Broken   bool           // nothing more can be read from it
 	Dead     bool           // let go: nothing that it says counts any more
@@ -41,6 +42,7 @@
 
 // Take puts an errand on a connection that idles.
 func (l *Link) Take(task scheduler.Task, withdraw bool) {
+	l.Used = l.Task != 0
 	l.Task, l.Withdraw, l.Busy, l.Written = task, withdraw, true, false
 }
 
@@ -88,14 +90,23 @@
 	return Drop, scheduler.Ended{Task: l.Task, Outcome: o}
 }
 
-// Answered takes a region's answer to the errand.
+// Answered takes a region's answer to the errand. An answer may come twice, the second time late, and
+// nothing tells which errand it is for. So only an accepted task leaves a connection that is used
+// again, and there only a 202 is believed: a "turned away" that is none of this task's would set it
+// free while it runs. Who is told a 202 too many waits for callbacks, as always.
 func (l *Link) Answered(a Answer) (Next, scheduler.Event) {
-	if l.Dead || !l.Busy {
+	switch {
+	case l.Dead:
 		return Stay, nil
+	case !l.Busy: // nobody asked
+		l.Dead = true
+		return Drop, nil
+	case l.Used && (a.Status != 202 || !l.Written):
+		return l.lose(dahliaford.Reset, false)
 	}
 	l.Busy = false
 	next := Idle
-	if a.Close || l.Broken {
+	if a.Close || l.Broken || l.Withdraw || !l.Written || a.Status != 202 {
 		l.Dead, next = true, Drop
 	}
 	switch {
--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -41,3 +41,83 @@
 	}
 	w.node.level(t, 0, 0)
 }
+
+// fleet is a world in which connections to regions are used again, however long they idled.
+func fleet(t *testing.T, sockets int, regions ...string) *world {
+	set := parsed(t)
+	set.Module.Balancers = 80
+	w := newWorldOf(t, set, sockets, regions...)
+	w.node.do(func() { w.node.keptFor = 3600 * second })
+	return w
+}
+
+// idles waits until so many connections to regions idle.
+func (n *Node) idles(t *testing.T, want int) {
+	t.Helper()
+	got := -1
+	for end := time.Now().Add(patience); got != want && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		n.do(func() {
+			got = 0
+			for _, idle := range n.links {
+				got += len(idle)
+			}
+		})
+	}
+	if got != want {
+		t.Fatalf("%d connections idle, want %d", got, want)
+	}
+}
+
+const accepted = `
+	c1 send job post a1 || one
+	r1 expect POST /post/7?a=b txn=a1 key=k body=one
+	r1 send 202 OK
+	back send POST /callback || {"id":"a1","from":"r1","state":"started"}
+	back expect 204`
+
+// A region answers twice, and the second time comes when the connection is on its next errand. That
+// task runs: it must not be taken for turned away and sent again.
+func TestASecondAnswerIsNotTheNextErrands(t *testing.T) {
+	w := fleet(t, 0, "r1")
+	play(t, w, accepted)
+	w.node.idles(t, 1)
+	play(t, w, `
+		c2 send job post a2 || two
+		r1 expect POST /post/7?a=b txn=a2 key=k body=two
+		r1 send 503 Busy | X-Turned-Away: 1
+		r1 expect DELETE /jobs/a2
+		c2 expect 500
+	`)
+}
+
+// An answer that comes while nobody asks ends the connection: the next task has one of its own.
+func TestAnAnswerToNothingEndsTheConnection(t *testing.T) {
+	w := fleet(t, 0, "r1")
+	play(t, w, accepted)
+	w.node.idles(t, 1)
+	play(t, w, `
+		r1 send 503 Busy | X-Turned-Away: 1
+		r1 expect end
+		c2 send job post a2 || two
+		r1 expect POST /post/7?a=b txn=a2 key=k body=two
+		r1 send 503 Busy | X-Turned-Away: 1
+		r1 expect end
+		r1 expect POST /post/7?a=b txn=a2 key=k body=two
+	`)
+}
+
+// An answer that is read before anything of its task has left is none of its: the task never ran, and
+// never will by this connection.
+func TestAnAnswerBeforeItsTaskLeft(t *testing.T) {
+	w := fleet(t, 0, "r1")
+	play(t, w, accepted)
+	w.node.idles(t, 1)
+	w.node.do(func() {
+		w.node.told.mu.Lock()
+		w.node.told.posted++ // a word is in the inbox: nothing leaves
+		w.node.told.mu.Unlock()
+	})
+	play(t, w, "c2 send job post a2 || two\nwait open 2\nr1 send 503 Busy | X-Turned-Away: 1\nr1 expect end")
+	w.node.do(func() { w.node.told.apply(0) })
+	play(t, w, "r1 expect POST /post/7?a=b txn=a2 key=k body=two") // by a connection of its own
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -116,9 +116,7 @@
 		clients: map[*client]bool{}, callers: map[scheduler.Caller]*client{},
 		links: map[string][]*regionConn{}, tasks: map[scheduler.Task]*regionConn{}, mostOpen: usable / regionPart}
 	n.told = newTold(cfg.Settings.DrainGrace, cfg.Settings.Module.ToldWithin)
-	if n.keptFor = keptFor; cfg.Settings.Module.LargeFleet() {
-		n.keptFor = keptInFleet
-	}
+	n.keptFor = kept(&cfg.Settings)
 	n.epoch = scheduler.Micros(n.start.UnixMicro())
 	most := usable - n.mostOpen
 	n.slots, n.reserve = make(chan struct{}, most), most/callbackPart
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -369,7 +369,7 @@
 		back expect 204
 		c1 expect 200 it "ran"`
 	for name, script := range map[string]string{
-		"a job is served, and the connection serves the next": sent + `
+		"a job is served, and the kept connection serves the next": sent + `
 			r1 send 202 OK` + done + `
 			c1 send job post a2 || more
 			r1 expect POST /post/7?a=b txn=a2 key=k body=more`,
@@ -381,7 +381,7 @@
 			r1 expect end
 			c1 send GET /_health
 			c1 expect 200`,
-		"the connection may end after the 202": sent + `
+		"a kept connection may end after the 202": sent + `
 			r1 send 202 OK
 			back send POST /callback || {"id":"a1","from":"r1","state":"started"}
 			back expect 204
@@ -505,7 +505,11 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			play(t, newWorld(t, 0, "r1"), script)
+			world := newWorld
+			if strings.Contains(name, "kept connection") {
+				world = fleet // elsewhere none is
+			}
+			play(t, world(t, 0, "r1"), script)
 		})
 	}
 }
@@ -938,13 +942,15 @@
 // A connection that has idled is let go, long before the region's limit: it may have
 // been closed without a word, and a job written to it would be lost.
 func TestIdleConnectionsAreRetired(t *testing.T) {
-	n := &Node{start: time.Now().Add(-time.Minute), links: map[string][]*regionConn{}, keptFor: keptFor}
-	for _, since := range []scheduler.Micros{0, 59 * second, 600 * second} {
-		n.links["r"] = append(n.links["r"], &regionConn{since: since, release: func() {}})
-	}
-	n.retireIdle()
-	if diff := cmp.Diff(1, len(n.links["r"])); diff != "" {
-		t.Error(diff)
+	for _, c := range []struct {
+		balancers  int
+		idle, want scheduler.Micros
+	}{{3, 60 * second, 0}, {80, 60 * second, 2 * second}, {80, 1500 * millisecond, 750 * millisecond}, {80, 0, 0}} {
+		set := parsed(t)
+		set.Module.Balancers, set.ConnIdle = c.balancers, c.idle
+		if got := kept(&set); got != c.want {
+			t.Errorf("%d schedulers, closed after %d: kept for %d, want %d", c.balancers, c.idle, got, c.want)
+		}
 	}
 }
 
--- a/internal/node/region.go
+++ b/internal/node/region.go
@@ -18,6 +18,7 @@
 	"dahliaford/internal/http1"
 	"dahliaford/internal/link"
 	"dahliaford/internal/scheduler"
+	"dahliaford/internal/settings"
 )
 
 // Messages of connections to regions to the loop.
@@ -34,15 +35,21 @@
 	ended struct{ conn *regionConn } // its descriptor is given back
 )
 
-// How long a connection that idles is used again. The regions' machines may close it at
-// any time, and not all say so: the next request then ends as a reset, and a job that must
-// not run twice is lost. A new connection costs little against a job. In a large fleet a
-// scheduler has few regions and comes back to each within seconds; there all schedulers
-// together would open a connection for each job and withdrawal, and a crossing waits for it.
-const (
-	keptFor     = 50 * millisecond
-	keptInFleet = 2000 * millisecond
-)
+// keptInFleet is how long a connection that idles is used again in a large fleet. There a scheduler
+// has few regions and comes back to each within seconds; all together would open a connection for
+// each job, and a crossing waits for it. Elsewhere each job has its own: regions' machines close idle
+// connections at any time, and not all say so, so that the next request ends as a reset; a new
+// connection costs little against a job.
+const keptInFleet = 2000 * millisecond
+
+// kept is how long a connection that idles is used again, at most half of what its region's machine
+// allows it.
+func kept(set *settings.Settings) scheduler.Micros {
+	if !set.Module.LargeFleet() {
+		return 0
+	}
+	return min(keptInFleet, set.ConnIdle/2)
+}
 
 const millisecond scheduler.Micros = 1000
 
@@ -82,7 +89,7 @@
 // fails when there is no room for another connection.
 func (n *Node) assign(addr string, e errand) (*regionConn, bool) {
 	n.retireIdle()
-	if idle := n.links[addr]; len(idle) > 0 {
+	if idle := n.links[addr]; len(idle) > 0 && e.payload != nil {
 		c := idle[len(idle)-1]
 		n.links[addr] = idle[:len(idle)-1]
 		c.take(e)
@@ -132,11 +139,13 @@
 // retireIdle lets go connections that have idled too long to be used again.
 func (n *Node) retireIdle() {
 	for addr, idle := range n.links {
-		for len(idle) > 0 && n.now()-idle[0].since > n.keptFor {
+		for len(idle) > 0 && n.now()-idle[0].since >= n.keptFor {
 			n.drop(idle[0])
 			idle = idle[1:]
 		}
-		n.links[addr] = idle
+		if n.links[addr] = idle; len(idle) == 0 {
+			delete(n.links, addr)
+		}
 	}
 }
 
@@ -237,13 +246,27 @@
 func (n *Node) linkBroke(c *regionConn) error {
 	next, e := c.Broke()
 	if next == link.Drop && e == nil { // it idled
-		n.links[c.addr] = slices.DeleteFunc(n.links[c.addr], func(o *regionConn) bool { return o == c })
+		n.unlist(c)
 	}
 	return n.linkNext(c, next, e, nil)
 }
 
+// unlist takes a connection from those that idle.
+func (n *Node) unlist(c *regionConn) {
+	n.links[c.addr] = slices.DeleteFunc(n.links[c.addr], func(o *regionConn) bool { return o == c })
+}
+
 func (n *Node) linkAnswered(m response) error {
-	next, e := m.conn.Answered(m.Answer)
+	c := m.conn
+	idled, unsent := !c.Busy, c.Busy && !c.Dead && !c.Withdraw && c.gate.CompareAndSwap(gateOpen, gateShut)
+	next, e := c.Answered(m.Answer)
+	if unsent { // it came before anything of the task had left, and now nothing will
+		e = scheduler.Ended{Task: c.Task, Outcome: dahliaford.Moot}
+	}
+	if next == link.Drop && (idled || unsent) {
+		n.log.Warn("an answer that nobody asked for", "region", c.addr, "status", m.Status)
+		n.unlist(c)
+	}
 	switch e := e.(type) {
 	case scheduler.Withdrawn:
 		if m.Status >= 300 && m.Status != 404 {
@@ -259,6 +282,7 @@
 	if next == link.Idle {
 		m.conn.since = n.now()
 		n.links[m.conn.addr] = append(n.links[m.conn.addr], m.conn)
+		n.retireIdle() // where none is kept
 	}
 	return n.linkNext(m.conn, next, e, nil)
 }
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -19,6 +19,7 @@
 	Zones      []string
 	Kinds      []string
 	DrainGrace dahliaford.Micros // sends to a region told to drain must have begun by then
+	ConnIdle   dahliaford.Micros // a region's machine closes a connection that has idled so long
 }
 
 // object is the settings object. Pointers mark what is optional and has a default
@@ -70,6 +71,7 @@
 	Limits struct {
 		AttemptsCap    int   `json:"attempts_cap"`
 		Cancel         bool  `json:"cancel"`
+		ConnIdle       int64 `json:"conn_idle"`
 		ConnectTimeout int64 `json:"connect_timeout"`
 		MaxRetryAfter  int64 `json:"max_retry_after"`
 		MayDuplicate   bool  `json:"may_duplicate"`
@@ -102,7 +104,7 @@
 		return Settings{}, fmt.Errorf("settings: %w", err)
 	}
 	all := Settings{Zones: p.Zones, Kinds: p.Kinds,
-		DrainGrace: dahliaford.Micros(p.Guarantees.DrainGrace)}
+		DrainGrace: dahliaford.Micros(p.Guarantees.DrainGrace), ConnIdle: dahliaford.Micros(p.Limits.ConnIdle)}
 	s := dahliaford.Settings{
 		Me: p.Me, Balancers: p.Balancers, Zone: p.Locality, WorthByWork: p.WorthBy == "work",
 		OverShareWorth: orElse(p.OverShare, 1),
