Trust a list no longer than its settings say once its watch has ended or been moved

Cause, by reading, shown by tests: told.go let tasks leave for 6 s after the last word in every mode, also without a watch. Where lists are pushed, what the agent has counts as told at once, watch or none; where they are asked for, after ask_within (never looked at); after a reload the new address counts 4 s later, but the old one's last word carried on.

Change: with the end of a watch that had spoken, what is known holds until the grace after nothing was left to read of it (pushed), or ask_within after it was heard (asked); after a reload 4 s; never longer than before. The module hears it as the age of its list (ListFailed, ListWarned), so that it holds jobs rather than have them turned back at the last look; ListUnread is such an age, too, and gone.

While discovery is down a pushed list costs service from the grace on: nobody can tell it from a watch that was reset alone.

--- a/api.go
+++ b/api.go
@@ -161,9 +161,8 @@
 	ListDelta  ListScope = iota // changed entries only
 	ListFull                    // the whole list
 	ListCached                  // the whole list as last seen, perhaps stale
-	ListFailed                  // a call failed or the subscription dropped
-	ListUnread                  // the same, with a change that cannot be read
-	ListWarned                  // entries that leave, from elsewhere than the list itself
+	ListFailed                  // a call failed or the subscription dropped; what is known may be older than it was: Age
+	ListWarned                  // entries that leave, from elsewhere than the list itself; Age likewise
 )
 
 // Report is the part of a worker's load report that decisions use.
--- a/dispatcher.go
+++ b/dispatcher.go
@@ -1026,10 +1026,10 @@
 // ---- The worker list
 
 func (d *Dispatcher) listed(e *Event) {
-	if e.Scope == ListUnread {
-		d.listedAt = 0 // any worker may have been told to drain
+	if e.Scope >= ListFailed { // nothing new, and perhaps less to rely on
+		d.listedAt = min(d.listedAt, d.now-e.Age)
 	}
-	if e.Scope == ListFailed || e.Scope == ListUnread {
+	if e.Scope == ListFailed {
 		if d.set.AskForList {
 			wait := Micros(float64(second) / 2 * (1 + d.random.chance()))
 			wait = min(wait<<min(d.askFails, 6), d.set.AskWithin/3)
--- a/dispatcher_test.go
+++ b/dispatcher_test.go
@@ -950,7 +950,7 @@
 	s := testSettings()
 	s.AskForList, s.AskWithin, s.ToldWithin = true, 10*second, 6*second
 	b := newBench(t, s, ready(1, 0), ready(2, 0))
-	b.do(Event{Kind: ListChanged, Scope: ListUnread})
+	b.do(Event{Kind: ListChanged, Scope: ListFailed, Age: b.now + b.d.set.ToldWithin})
 	b.want(b.arrive(1, 0), Send, 0)
 	leaves := []WorkerEntry{{Worker: 1, Status: Draining}}
 	b.want(b.do(Event{Kind: ListChanged, Scope: ListWarned, Workers: leaves}), Send, 0)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -97,6 +97,7 @@
 // Listen opens the client address. Nothing is accepted until Run.
 func Listen(cfg Config, log *slog.Logger) (*Node, error) {
 	// On sockets a list that is pushed comes over a watch, too, which somebody has to open.
+	pushed := !cfg.Settings.Module.AskForList
 	cfg.Settings.Module.AskForList = true
 	cfg.Settings.Module.ToldWithin = scheduler.Micros(toldWithin / time.Microsecond)
 	sched, err := scheduler.New(cfg.Settings, cfg.Seed)
@@ -116,6 +117,7 @@
 		clients: map[*client]bool{}, callers: map[scheduler.Caller]*client{},
 		links: map[string][]*regionConn{}, tasks: map[scheduler.Task]*regionConn{}, mostOpen: usable / regionPart}
 	n.told = newTold(cfg.Settings.DrainGrace, cfg.Settings.Module.ToldWithin)
+	n.told.pushed, n.told.ask = pushed, cfg.Settings.Module.AskWithin
 	n.keptFor = kept(&cfg.Settings)
 	n.epoch = scheduler.Micros(n.start.UnixMicro())
 	most := usable - n.mostOpen
--- a/internal/node/told.go
+++ b/internal/node/told.go
@@ -18,14 +18,17 @@
 type told struct {
 	grace  scheduler.Micros // after which nothing more may leave for a region that was told off
 	within scheduler.Micros // after which a change counts as told unheard; 0: never
+	pushed bool             // without a watch a change counts as told at once
+	ask    scheduler.Micros // without a watch it does so after this; 0: not stated
 
 	mu      sync.Mutex
 	taps    map[*tap]bool
-	left    map[string]bool // regions that are to get nothing new
-	posted  uint64          // words that readers have passed on
-	applied uint64          // those of them that the loop has dealt with
-	until   scheduler.Micros
-	changed chan struct{} // closed when a word has been dealt with
+	left    map[string]bool  // regions that are to get nothing new
+	posted  uint64           // words that readers have passed on
+	applied uint64           // those of them that the loop has dealt with
+	heard   scheduler.Micros // what there was to tell by then has been told
+	until   scheduler.Micros // it holds until then
+	changed chan struct{}    // closed when a word has been dealt with
 }
 
 func newTold(grace, within scheduler.Micros) *told {
@@ -90,16 +93,36 @@
 	defer t.mu.Unlock()
 	t.applied++
 	if heard != 0 {
-		t.until = heard + t.within
+		t.heard, t.until = heard, heard+t.within
 	}
 	t.signal()
 }
 
-// distrust is called when a word came that nobody can read: it may have told off any region.
-func (t *told) distrust() {
+// lost is called when the present watch has ended, and tells until when what is known holds, as
+// nobody tells of changes any more. sure is when nothing was left to read of it; 0: it never spoke,
+// so that nothing hung on it. unread says that nobody could read its last word, which may have told
+// off any region.
+func (t *told) lost(sure scheduler.Micros, unread bool) (until scheduler.Micros) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.until = 0
+	switch {
+	case unread:
+		t.until = 0
+	case sure == 0:
+	case t.pushed: // what its agent has counts as told, whether or not we have a watch
+		t.until = min(t.until, sure+t.grace)
+	case t.ask > 0: // a change counts as told so long after it was made
+		t.until = min(t.until, t.heard+t.ask)
+	}
+	return t.until
+}
+
+// moved is called when another discovery counts from now on: what it has to tell counts as told
+// then, whether or not it has answered.
+func (t *told) moved(until scheduler.Micros) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.until = min(t.until, until)
 }
 
 func (t *told) leaves(uid string, so bool) {
@@ -174,6 +197,16 @@
 	return n, err
 }
 
+// sure is the latest time at which nothing of the watch was left to read.
+func (p *tap) sure() scheduler.Micros {
+	if p == nil {
+		return 0
+	}
+	p.told.mu.Lock()
+	defer p.told.mu.Unlock()
+	return p.emptyAt
+}
+
 // empty tells whether nothing lies in the socket: not a byte, nor its end.
 func (p *tap) empty() bool {
 	var one [1]byte
--- a/internal/node/told_test.go
+++ b/internal/node/told_test.go
@@ -87,7 +87,7 @@
 	told.post(tap, clock)
 	told.apply(clock)
 	want("heard again", "r1", nil)
-	told.distrust()
+	told.lost(0, true)
 	want("a word that cannot be read", "r1", errUnheard)
 }
 
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -36,6 +36,7 @@
 	watch *watch
 	event scheduler.Event
 	read  scheduler.Micros // when; 0: nothing was
+	sure  scheduler.Micros // with its end: when nothing was left to read; 0: it never spoke
 }
 
 // watch is one watch of the service table.
@@ -47,6 +48,9 @@
 // openWatch opens a watch in place of the present one. That one is read on until the new one
 // has said something: what discovery has written there has been told.
 func (n *Node) openWatch(w scheduler.Watch) {
+	if w.Until != 0 {
+		n.told.moved(w.Until)
+	}
 	ctx, release := context.WithCancel(n.ctx)
 	if n.watch != nil && !n.watch.ended {
 		if n.before != nil {
@@ -58,16 +62,18 @@
 	own := n.watch
 	n.spawn(func() {
 		defer release()
+		var spoke *tap
 		err := n.follow(ctx, w, func(e scheduler.TableRead, t *tap) {
+			spoke = t
 			e.At = n.told.post(t, n.now())
-			n.post(tableWord{own, e, n.now()})
+			n.post(tableWord{watch: own, event: e, read: n.now()})
 		})
 		lost := scheduler.TableLost{}
 		if ctx.Err() == nil { // else it was let go
 			n.log.Warn("watch of the service table lost", "error", err)
 			lost.Unread = errors.Is(err, errNoTable)
 		}
-		n.post(tableWord{watch: own, event: lost})
+		n.post(tableWord{watch: own, event: lost, sure: spoke.sure()})
 	})
 }
 
@@ -91,14 +97,18 @@
 		err = n.step(e)
 		n.told.apply(heard) // only now: those who leave are known
 	case scheduler.TableLost:
-		if m.watch.ended = true; e.Unread {
-			n.told.distrust()
-		}
+		m.watch.ended = true
 		switch m.watch {
 		case n.watch:
+			e.Until = n.told.lost(m.sure, e.Unread)
 			err = n.step(e)
 		case n.before:
 			n.before = nil
+			fallthrough
+		default:
+			if e.Unread {
+				n.told.lost(0, true)
+			}
 		}
 	}
 	return err
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -74,7 +74,8 @@
 	}
 	// TableLost says that the watch could not be opened, or ended.
 	TableLost struct {
-		Unread bool // with a word that nobody can read: any region may have been told to leave
+		Unread bool   // with a word that nobody can read: any region may have been told to leave
+		Until  Micros // what is known holds no longer than that; 0, if it was read: it holds as it did
 	}
 	// Woke says that the time of the last Wake has come.
 	Woke struct{}
@@ -167,6 +168,8 @@
 	Watch struct {
 		Addr string
 		Rev  int64 // what changed after it is asked for; 0: the whole table
+		// Until, unless 0, is until when what is known holds, if Addr has not answered by then.
+		Until Micros
 	}
 	// Retire says that nothing new may go to a region, and closes idle connections to it.
 	Retire struct{ UID, Addr string }
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -25,6 +25,8 @@
 	longestKept = 3 * second
 	lastCall    = 300 * millisecond
 	parting     = 200 * millisecond
+	// movedWithin is how long after a new configuration the discovery that it names counts.
+	movedWithin = 4 * second
 	// answerWithin is how long a region may take to answer a withdrawal.
 	answerWithin = second
 	// recallAgain is the first wait before a withdrawal that did not get through is tried
@@ -236,8 +238,8 @@
 	case TableLost:
 		s.watching = false
 		lost := dahliaford.Event{Kind: dahliaford.ListChanged, Scope: dahliaford.ListFailed}
-		if e.Unread {
-			lost.Scope = dahliaford.ListUnread
+		if e.Unread || e.Until != 0 {
+			lost.Age = s.ageAt(e.Until)
 		}
 		s.tell(lost)
 	case Woke:
@@ -595,9 +597,14 @@
 func (s *Scheduler) reloaded(discovery string) {
 	s.discovery, s.rev, s.watching = discovery, 0, false
 	s.count++
-	s.emit(Watch{Addr: s.discovery, Rev: s.rev})
+	s.emit(Watch{Addr: s.discovery, Rev: s.rev, Until: s.now + movedWithin})
+	s.tell(dahliaford.Event{Kind: dahliaford.ListChanged, Scope: dahliaford.ListWarned,
+		Age: s.ageAt(s.now + movedWithin)})
 }
 
+// ageAt is how old what is known has to be taken for, if it holds until a time.
+func (s *Scheduler) ageAt(until Micros) Micros { return s.now - until + s.set.Module.ToldWithin }
+
 // warned takes from a discovery that is no longer the present one who leaves.
 func (s *Scheduler) warned(t Table) {
 	e := dahliaford.Event{Kind: dahliaford.ListChanged, Scope: dahliaford.ListWarned}
