Ask for no second copies, which the reducer suppresses and which used up attempts

A job whose region fell silent was held for a copy again and again: each used up one of its attempts. And act looked tasks up by their place, which a suppressed attempt shifts: a later Cancel then hit none.

Change: the reducer tells its module that no copies may go out, and finds a task by its attempt.

Measured: TestSecondCopiesAreNotAskedFor logs 'send suppressed' without the mend, nothing with it.

--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -185,8 +185,11 @@
 	for _, c := range set.Module.Classes {
 		s.longest = max(s.longest, c.Deadline)
 	}
+	// One task of a transaction is out at a time here, whatever the settings allow: the module must
+	// not ask for copies, which would use up a job's attempts for nothing.
+	s.set.Module.MayDuplicate = false
 	var err error
-	s.module, err = dahliaford.New(set.Module, seed)
+	s.module, err = dahliaford.New(s.set.Module, seed)
 	return s, err
 }
 
@@ -755,9 +758,15 @@
 			s.answer(t, Answer{Verdict: Failed})
 		}
 	case dahliaford.Cancel:
-		if t != nil && a.Attempt < len(t.tasks) && !t.tasks[a.Attempt].ended {
-			s.callBack(t.tasks[a.Attempt])
-			s.end(t.tasks[a.Attempt], dahliaford.Cancelled, dahliaford.Report{})
+		if t == nil {
+			break
+		}
+		// By its number: an attempt that was suppressed has none here.
+		i := slices.IndexFunc(t.tasks, func(k *task) bool { return k.attempt == a.Attempt && !k.ended })
+		if i >= 0 {
+			k := t.tasks[i]
+			s.callBack(k)
+			s.end(k, dahliaford.Cancelled, dahliaford.Report{})
 		}
 	case dahliaford.SetTimer:
 		heap.Push(&s.due, due{at: s.now + a.Wait, token: a.Token, timer: true})
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -92,6 +92,10 @@
 			say("program", "%T", e)
 		case Close:
 			say("program", "%T", e)
+		case Log:
+			if e.Warn {
+				say("log", "%s", e.Text)
+			}
 		case Wake:
 			w.wake = e.At
 		}
@@ -447,6 +451,26 @@
 	}
 }
 
+// Where settings allow a second copy, the module would have one of a job whose region falls silent.
+// One task is out at a time here, so it must not ask: each time would use up an attempt.
+func TestSecondCopiesAreNotAskedFor(t *testing.T) {
+	set, err := settings.Parse([]byte(strings.Replace(testSettings, `"cancel":true`,
+		`"cancel":true,"may_duplicate":true`, 1)))
+	if err != nil {
+		t.Fatal(err)
+	}
+	scenario.Run(t, newWorldOf(t, set), `
+		discovery send r1=ready r2=ready
+		c1 send a1 batch sahel 20s
+		r1 expect a1 payload written in 250ms done in 19.996s
+		r1 send accepted a1
+		r1 send started a1
+		wait 12s
+		log expect nothing
+		c1 close
+		r1 expect withdrawn a1`, func(want, got string) string { return cmp.Diff(want, got) })
+}
+
 // A stopping scheduler is gone before the kill, whatever its deadlines are and whether or not its
 // regions hear withdrawals. Until it is gone, clients send on.
 func TestTheEndComesBeforeTheKill(t *testing.T) {
