Give clients advice on when to come back only where the settings allow it

Cause: client.go, write, sent Retry-After with every refusal, also where limits.retry_after is false (the variant with pushed lists). Change: no advice where the module has none to give (MaxRetryAfter 0).

--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -359,6 +359,9 @@
 	if last {
 		connection = "close"
 	}
+	if c.node.cfg.Settings.Module.MaxRetryAfter == 0 {
+		retry = "" // the settings give clients no advice
+	}
 	b := http1.AppendResponse(make([]byte, 0, 256+len(body)), status,
 		[]http1.Field{{Name: "Retry-After", Value: retry}, {Name: "Connection", Value: connection}}, body)
 	c.conn.SetWriteDeadline(latest(c.node.at(deadline), time.Now()).Add(writeSlack))
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"dahliaford/internal/scheduler"
 )
 
 // Clients that leave while their jobs wait take nothing with them: the books are as before, and
@@ -118,3 +120,17 @@
 		r1 expect POST /batch/7?a=b txn=b1 key=k body=next
 	`)
 }
+
+// Clients are told when to come back only where the settings allow it.
+func TestAdviceIsGivenWhereAllowed(t *testing.T) {
+	for most, want := range map[scheduler.Micros]string{2 * second: "503 after 0 close", 0: "503 close"} {
+		set := parsed(t)
+		set.Module.MaxRetryAfter = most
+		w := newWorldOf(t, set, 0, "r1")
+		play(t, w, `
+			c1 send GET /_health
+			c1 expect 200
+			node send stop
+			c1 expect `+want)
+	}
+}
