Take null fields of the configuration as absent, and count what storms leave behind

Cause: config.go, limits, read "limits":null as a mistake and refused the start ("expected { near offset 190 of 'limits'"); so did "name", "seed" and the numbers in limits. Change: null is as absent, as it already was in the settings. TestNullIsAbsent fails without.

TestStormsLeaveNothing sends six kinds of storms (120 connections each; half end by a reset) and counts clients, callers, links, tasks, withdrawals, slots, goroutines and descriptors before and after. TestWhatHasNotLeftNeverLeaves now runs with and without leave to cancel.

--- a/cmd/dahliaford/config.go
+++ b/cmd/dahliaford/config.go
@@ -53,6 +53,9 @@
 	for !in.IsDelim('}') && in.Error() == nil {
 		key := in.UnsafeFieldName(false)
 		in.WantColon()
+		if in.IsNull() { // as if it were not there
+			key = ""
+		}
 		switch key {
 		case "name":
 			cfg.Name = in.String()
@@ -107,6 +110,9 @@
 	for !in.IsDelim('}') && in.Error() == nil {
 		key := in.UnsafeFieldName(false)
 		in.WantColon()
+		if in.IsNull() {
+			key = ""
+		}
 		switch key {
 		case "sockets":
 			sockets = in.Int()
--- a/cmd/dahliaford/config_test.go
+++ b/cmd/dahliaford/config_test.go
@@ -48,6 +48,20 @@
 	}
 }
 
+// A field that is null is as one that is absent, whatever the order, and unknown ones are passed over.
+func TestNullIsAbsent(t *testing.T) {
+	const text = `{"settings":{"limits":null,"new":[{}],"customers":null,"guarantees":null,"family_info":null,
+		"grades":[{"deadline":5,"dedup_scope":null,"semantics":"idempotent","name":"a"}]},"limits":null,"seed":null,
+		"known":null,"later":{"x":[null]},"discovery":"127.0.0.1:1","listen":"127.0.0.1:0","name":null}`
+	if got, err := configured(t, text, nil); err != nil || got != " 127.0.0.1:0 127.0.0.1:1 a" {
+		t.Errorf("%q, %v", got, err)
+	}
+	cfg, err := parse([]byte(strings.Replace(text, `"limits":null,"seed"`, `"limits":{"sockets":null,"x":1},"seed"`, 1)))
+	if err != nil || cfg.Sockets != 0 {
+		t.Errorf("%d sockets, %v", cfg.Sockets, err)
+	}
+}
+
 // Each mistake is told in one line that names its place.
 func TestMistakesInTheConfiguration(t *testing.T) {
 	for name, c := range map[string]struct{ old, new, want string }{
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -96,29 +96,31 @@
 	})
 }
 
-// Where nothing may be called off, a task that has not left when its client leaves never does: not
-// sending is not cancelling. It waits here for a word of discovery, connected and all.
+// A task that has not left when its client leaves never does, whether or not what has left may be
+// called off: not sending is not cancelling. It is connected here, and waits for a word of discovery.
 func TestWhatHasNotLeftNeverLeaves(t *testing.T) {
-	set := parsed(t)
-	set.Module.MayCancel = false
-	w := newWorldOf(t, set, 0, "r1")
-	n := w.node
-	n.do(func() {
-		n.told.mu.Lock()
-		n.told.posted++ // a word is in the inbox
-		n.told.mu.Unlock()
-	})
-	play(t, w, "c1 send job batch a1 || work\nwait open 1\nc1 close\nwait open 0")
-	n.do(func() {
-		n.told.apply(n.now())
-		if k := n.sched.Kept(); k.Tasks != 0 && len(n.tasks) != 0 {
-			t.Errorf("still on its way: %+v", k)
-		}
-	})
-	play(t, w, `
-		c2 send job batch b1 || next
-		r1 expect POST /batch/7?a=b txn=b1 key=k body=next
-	`)
+	for _, may := range []bool{false, true} {
+		set := parsed(t)
+		set.Module.MayCancel = may
+		w := newWorldOf(t, set, 0, "r1")
+		n := w.node
+		n.do(func() {
+			n.told.mu.Lock()
+			n.told.posted++ // a word is in the inbox
+			n.told.mu.Unlock()
+		})
+		play(t, w, "c1 send job batch a1 || work\nwait open 1\nc1 close\nwait open 0")
+		n.do(func() {
+			n.told.apply(n.now())
+			if k := n.sched.Kept(); k.Tasks != 0 && len(n.tasks) != 0 {
+				t.Errorf("may cancel %v: still on its way: %+v", may, k)
+			}
+		})
+		play(t, w, `
+			c2 send job batch b1 || next
+			r1 expect POST /batch/7?a=b txn=b1 key=k body=next
+		`)
+	}
 }
 
 // Clients are told when to come back only where the settings allow it.
--- /dev/null
+++ b/internal/node/storm_test.go
@@ -0,0 +1,132 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"dahliaford/internal/http1"
+	"dahliaford/internal/scheduler"
+)
+
+// obliging is a region that takes every job and every withdrawal, and keeps no connection open of
+// itself.
+func obliging(t *testing.T) net.Listener {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer conn.Close()
+				for r := http1.NewReader(conn); ; {
+					m, err := r.Request()
+					if err != nil {
+						return
+					}
+					io.WriteString(conn, map[string]string{"POST": "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n",
+						"DELETE": "HTTP/1.1 204 No Content\r\n\r\n"}[m.Method])
+				}
+			}()
+		}
+	}()
+	return l
+}
+
+// held counts what a node and its process hold.
+func held(n *Node) string {
+	var text string
+	n.do(func() {
+		links := 0
+		for _, l := range n.links {
+			links += len(l)
+		}
+		k := n.sched.Kept()
+		k.Used, k.Dues = 0, 0 // these go by time alone
+		text = fmt.Sprintf("clients %d, callers %d, links %d in %d, open %d, tasks %d, calls %d, slots %d, %+v",
+			len(n.clients), len(n.callers), links, len(n.links), n.open, len(n.tasks), n.calls, len(n.slots), k)
+	})
+	files, _ := os.ReadDir("/proc/self/fd")
+	return fmt.Sprintf("%s, goroutines %d, descriptors %d", text, runtime.NumGoroutine(), len(files))
+}
+
+// After every kind of storm a node holds what it held before.
+func TestStormsLeaveNothing(t *testing.T) {
+	w := newWorld(t, 0)
+	n := w.node
+	region := obliging(t).Addr().String()
+	n.do(func() {
+		n.told.mu.Lock()
+		n.told.posted++
+		n.told.mu.Unlock()
+		n.watchSaid(tableWord{watch: n.watch, event: scheduler.TableRead{At: n.now() + 3600*second,
+			Table: scheduler.Table{Rev: 5, All: true, Regions: []scheduler.Region{
+				{UID: "r1", Addr: region, Zone: "north", Kind: "m1", Status: 1}}}}})
+	})
+	const job = "POST /%[1]s/7 HTTP/1.1\r\nX-Txn: %[2]s\r\nX-Lane: %[1]s\r\nX-Org: sahel\r\n" +
+		"X-Remaining-Ms: 30000\r\nContent-Length: 0\r\n\r\n"
+	serial := 0
+	one := func(class string) string {
+		serial++
+		return fmt.Sprintf(job, class, fmt.Sprint("t", serial))
+	}
+	storms := []struct {
+		name string
+		text func() string
+	}{
+		{"leave while waiting", func() string { return one("post") }},
+		{"send ahead and leave", func() string { return one("batch") + one("batch") + one("post") }},
+		{"send too much and leave", func() string { return one("post") + strings.Repeat("x", 40<<10) }},
+		{"bad bytes", func() string { return "\x00\x01 nonsense\r\n\r\n" }},
+		{"half a request", func() string { return "POST /post/7 HTTP/1.1\r\nX-Txn" }},
+		{"nothing", func() string { return "" }},
+	}
+	storm := func(text func() string) {
+		var all []net.Conn
+		for range 40 {
+			conn, err := net.Dial("tcp", n.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			io.WriteString(conn, text())
+			all = append(all, conn)
+		}
+		for i, conn := range all {
+			if tcp := conn.(*net.TCPConn); i%2 == 0 {
+				tcp.SetLinger(0) // half of them by a reset
+			}
+			conn.Close()
+		}
+	}
+	level := func(want string) (got string) {
+		for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+			if got = held(n); got == want {
+				break
+			}
+		}
+		return got
+	}
+	storm(func() string { return "" }) // whatever starts with the first connections
+	time.Sleep(2 * sweepEvery)
+	before := held(n)
+	for _, s := range storms {
+		for range 3 {
+			storm(s.text)
+		}
+		if got := level(before); got != before {
+			t.Errorf("%s:\nheld %s\nwas  %s", s.name, got, before)
+		}
+	}
+}
