--- a/api.go
+++ b/api.go
@@ -161,7 +161,7 @@
 	ListDelta  ListScope = iota // changed entries only
 	ListFull                    // the whole list
 	ListCached                  // the whole list as last seen, perhaps stale
-	ListFailed                  // a call failed or the subscription dropped; what is known may be older than it was: Age
+	ListFailed                  // a call failed or the subscription dropped; what is known may be older: Age
 	ListWarned                  // entries that leave, from elsewhere than the list itself; Age likewise
 )
 
--- a/cmd/dahliaford/config_test.go
+++ b/cmd/dahliaford/config_test.go
@@ -56,7 +56,8 @@
 	if got, err := configured(t, text, nil); err != nil || got != " 127.0.0.1:0 127.0.0.1:1 a" {
 		t.Errorf("%q, %v", got, err)
 	}
-	cfg, err := parse([]byte(strings.Replace(text, `"limits":null,"seed"`, `"limits":{"sockets":null,"x":1},"seed"`, 1)))
+	within := strings.Replace(text, `"limits":null,"seed"`, `"limits":{"sockets":null,"x":1},"seed"`, 1)
+	cfg, err := parse([]byte(within))
 	if err != nil || cfg.Sockets != 0 {
 		t.Errorf("%d sockets, %v", cfg.Sockets, err)
 	}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -28,8 +28,8 @@
 	 "slo":20000000,"deadline":30000000,"worth":3}],
 	"customers":[{"name":"sahel"}],
 	"family_info":{"class_stretch":[2,2.5],"tells_start":true},"discovery":"on_request",
-	"limits":{"attempts_cap":4,"cancel":true,"connect_timeout":5000000,"max_retry_after":2000000,"retry_after":true,
-	 "conn_idle":60000000},
+	"limits":{"attempts_cap":4,"cancel":true,"connect_timeout":5000000,"max_retry_after":2000000,
+	 "retry_after":true,"conn_idle":60000000},
 	"guarantees":{"cold":8000000,"cold_from":0.3,"fall":2000000,"overload_factor":4,"ask_within":10000000}}`
 
 const second = 1000 * millisecond
@@ -945,7 +945,8 @@
 	for _, c := range []struct {
 		balancers  int
 		idle, want scheduler.Micros
-	}{{3, 60 * second, keptFor}, {3, 0, 0}, {80, 60 * second, 2 * second}, {80, 1500 * millisecond, 750 * millisecond}, {80, 0, 0}} {
+	}{{3, 60 * second, keptFor}, {3, 0, 0}, {80, 60 * second, 2 * second},
+		{80, 1500 * millisecond, 750 * millisecond}, {80, 0, 0}} {
 		set := parsed(t)
 		set.Module.Balancers, set.ConnIdle = c.balancers, c.idle
 		if got := kept(&set); got != c.want {
--- a/internal/node/quiet_test.go
+++ b/internal/node/quiet_test.go
@@ -89,7 +89,8 @@
 // Where lists are asked for, a change counts as told so long after it was made as the settings give
 // for asking, once there is no watch; what was heard holds no longer, nor longer than 6 s.
 func TestAskedListsHoldForTheTimeOfTheSettings(t *testing.T) {
-	for ask, want := range map[scheduler.Micros]scheduler.Micros{2 * second: 2 * second, 10 * second: 6 * second} {
+	for _, c := range [][2]scheduler.Micros{{2 * second, 2 * second}, {10 * second, 6 * second}} {
+		ask, want := c[0], c[1]
 		w := quietWorld(t, false, ask)
 		heard := w.node.heardAt()
 		play(t, w, "discovery close reset\ndiscovery expect GET /catalog/members?watch=1&from=5")
