--- a/cmd/dahliaford/config.go
+++ b/cmd/dahliaford/config.go
@@ -49,13 +49,7 @@
 	var known, set []byte
 	var seed string
 	in := jlexer.Lexer{Data: raw}
-	in.Delim('{')
-	for !in.IsDelim('}') && in.Error() == nil {
-		key := in.UnsafeFieldName(false)
-		in.WantColon()
-		if in.IsNull() { // as if it were not there
-			key = ""
-		}
+	node.Fields(&in, func(key string) {
 		switch key {
 		case "name":
 			cfg.Name = in.String()
@@ -74,9 +68,7 @@
 		default:
 			in.SkipRecursive()
 		}
-		in.WantComma()
-	}
-	in.Delim('}')
+	})
 	in.Consumed()
 	if err := in.Error(); err != nil {
 		return cfg, err
@@ -106,13 +98,7 @@
 }
 
 func limits(in *jlexer.Lexer) (sockets, memoryMB int) {
-	in.Delim('{')
-	for !in.IsDelim('}') && in.Error() == nil {
-		key := in.UnsafeFieldName(false)
-		in.WantColon()
-		if in.IsNull() {
-			key = ""
-		}
+	node.Fields(in, func(key string) {
 		switch key {
 		case "sockets":
 			sockets = in.Int()
@@ -121,8 +107,6 @@
 		default:
 			in.SkipRecursive()
 		}
-		in.WantComma()
-	}
-	in.Delim('}')
+	})
 	return sockets, memoryMB
 }
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -446,8 +445,7 @@
 	if n, err = in.conn.Read(b); n > 0 || in.raw == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 		return n, err
 	}
-	in.raw.Control(func(fd uintptr) { n, _ = receive(fd, b, 0) })
-	if n > 0 {
+	if n, _ = receiveNow(in.raw, b, 0); n > 0 {
 		return n, nil
 	}
 	return 0, err
@@ -468,12 +466,10 @@
 		return nil
 	}
 	at := func(b []byte, flags int) (n int, err error) {
-		wrong := in.raw.Control(func(fd uintptr) {
-			if n, err = receive(fd, b, flags); n == 0 && err == nil {
-				err = io.EOF
-			}
-		})
-		return n, cmp.Or(wrong, err)
+		if n, err = receiveNow(in.raw, b, flags); n == 0 && err == nil {
+			err = io.EOF
+		}
+		return n, err
 	}
 	var one [1]byte
 	if _, err = at(one[:], syscall.MSG_PEEK); err == nil { // seldom: clients wait for their answer
--- a/internal/node/decode.go
+++ b/internal/node/decode.go
@@ -17,7 +17,7 @@
 // the table is known.
 func DecodeTable(line []byte) (t scheduler.Table, odd, err error) {
 	in := jlexer.Lexer{Data: line}
-	fields(&in, func(key string) {
+	Fields(&in, func(key string) {
 		switch key {
 		case "rev":
 			t.Rev = in.Int64()
@@ -54,7 +54,7 @@
 	var r scheduler.Region
 	state := ""
 	in := jlexer.Lexer{Data: raw}
-	fields(&in, func(key string) {
+	Fields(&in, func(key string) {
 		switch key {
 		case "uid":
 			r.UID = in.String()
@@ -100,7 +100,7 @@
 func decodeTold(body []byte) (scheduler.Told, error) {
 	var t scheduler.Told
 	in := jlexer.Lexer{Data: body}
-	fields(&in, func(key string) {
+	Fields(&in, func(key string) {
 		switch key {
 		case "id":
 			t.ID = in.String()
@@ -125,7 +125,7 @@
 // decodeReport reads a load report.
 func decodeReport(in *jlexer.Lexer) dahliaford.Report {
 	r := dahliaford.Report{Outstanding: -1}
-	fields(in, func(key string) {
+	Fields(in, func(key string) {
 		switch key {
 		case "x0":
 			r.Free, r.Known = in.Float64(), true
@@ -140,9 +140,9 @@
 	return r
 }
 
-// fields reads an object: value is called for each key that has a value other than
+// Fields reads an object: value is called for each key that has a value other than
 // null, and must read that value.
-func fields(in *jlexer.Lexer, value func(key string)) {
+func Fields(in *jlexer.Lexer, value func(key string)) {
 	in.Delim('{')
 	for !in.IsDelim('}') && in.Error() == nil {
 		key := in.UnsafeFieldName(false)
--- a/internal/node/endings_test.go
+++ b/internal/node/endings_test.go
@@ -7,22 +7,6 @@
 	"time"
 )
 
-// level waits until a node holds so many connections to regions, and tasks on them.
-func (n *Node) level(t *testing.T, open, tasks int) {
-	t.Helper()
-	var got string
-	want := fmt.Sprintf("open %d, tasks %d, calls 0", open, tasks)
-	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		n.do(func() {
-			got = fmt.Sprintf("open %d, tasks %d, calls %d", n.open, len(n.tasks), n.calls)
-		})
-		if got == want {
-			return
-		}
-	}
-	t.Errorf("%s, want %s", got, want)
-}
-
 // A region whose answer never ends, and that tells by callback how its job ended, keeps no
 // connection: with one for each job nothing could be sent before long.
 func TestAnAnswerThatNeverEndsKeepsNoConnection(t *testing.T) {
@@ -40,7 +24,15 @@
 			back%[1]d close
 		`, i, ways[i%len(ways)], news[i/len(ways)%len(news)]))
 	}
-	w.node.level(t, 0, 0)
+	var got string
+	if !eventually(func() bool {
+		w.node.do(func() {
+			got = fmt.Sprintf("open %d, tasks %d, calls %d", w.node.open, len(w.node.tasks), w.node.calls)
+		})
+		return got == "open 0, tasks 0, calls 0"
+	}) {
+		t.Error(got)
+	}
 }
 
 // fleet is a world in which connections to regions are used again, however long they idled.
@@ -56,15 +48,15 @@
 func (n *Node) idles(t *testing.T, want int) {
 	t.Helper()
 	got := -1
-	for end := time.Now().Add(patience); got != want && time.Now().Before(end); time.Sleep(time.Millisecond) {
+	if !eventually(func() bool {
 		n.do(func() {
 			got = 0
 			for _, idle := range n.links {
 				got += len(idle)
 			}
 		})
-	}
-	if got != want {
+		return got == want
+	}) {
 		t.Fatalf("%d connections idle, want %d", got, want)
 	}
 }
@@ -114,9 +106,7 @@
 	play(t, w, accepted)
 	w.node.idles(t, 1)
 	w.node.do(func() {
-		w.node.told.mu.Lock()
-		w.node.told.posted++ // a word is in the inbox: nothing leaves
-		w.node.told.mu.Unlock()
+		w.node.wordIsPosted()
 	})
 	play(t, w, "c2 send job post a2 || two\nwait open 2\nr1 send 503 Busy | X-Turned-Away: 1\nr1 expect end")
 	w.node.do(func() { w.node.told.apply(0) })
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -105,9 +105,7 @@
 		w := newWorldOf(t, set, 0, "r1")
 		n := w.node
 		n.do(func() {
-			n.told.mu.Lock()
-			n.told.posted++ // a word is in the inbox
-			n.told.mu.Unlock()
+			n.wordIsPosted()
 		})
 		play(t, w, "c1 send job batch a1 || work\nwait open 1\nc1 close\nwait open 0")
 		n.do(func() {
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -116,11 +116,26 @@
 	<-done
 }
 
-// knows lets what a node knows of the table hold, as if discovery had just said so.
-func (n *Node) knows(span time.Duration) {
+// wordIsPosted has a word of discovery on its way to the loop: nothing leaves until it is applied.
+func (n *Node) wordIsPosted() {
 	n.told.mu.Lock()
+	defer n.told.mu.Unlock()
 	n.told.posted++
-	n.told.mu.Unlock()
+}
+
+// eventually waits until something is so, for as long as tests have patience.
+func eventually(so func() bool) bool {
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+		if so() {
+			return true
+		}
+	}
+	return false
+}
+
+// knows lets what a node knows of the table hold, as if discovery had just said so.
+func (n *Node) knows(span time.Duration) {
+	n.wordIsPosted()
 	until := n.now() + scheduler.Micros(span.Microseconds())
 	n.watchSaid(tableWord{watch: n.watch, event: scheduler.TableRead{At: until}})
 }
@@ -238,12 +253,11 @@
 
 // waitOpen waits until so many jobs are open at the node.
 func (w *world) waitOpen(want string) error {
-	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
-		open := make(chan int, 1)
-		w.node.post(func() { open <- len(w.node.callers) })
-		if fmt.Sprint(<-open) == want {
-			return nil
-		}
+	if eventually(func() (so bool) {
+		w.node.do(func() { so = fmt.Sprint(len(w.node.callers)) == want })
+		return so
+	}) {
+		return nil
 	}
 	return errors.New("the jobs did not all come")
 }
--- a/internal/node/quiet_test.go
+++ b/internal/node/quiet_test.go
@@ -29,10 +29,8 @@
 	was := n.heardAt()
 	play(t, w, `discovery send {"rev":5,"all":true,"targets":[`+
 		regionLine("r1", w.parties["r1"].listener.Addr().String())+`]}/n`)
-	for end := time.Now().Add(patience); n.heardAt() == was; time.Sleep(time.Millisecond) {
-		if time.Now().After(end) {
-			t.Fatal("the word is not taken in")
-		}
+	if !eventually(func() bool { return n.heardAt() != was }) {
+		t.Fatal("the word is not taken in")
 	}
 }
 
@@ -44,20 +42,16 @@
 // holds waits until what a node knows holds for so long at most, from now on.
 func (n *Node) holds(t *testing.T, most scheduler.Micros) (until scheduler.Micros) {
 	t.Helper()
-	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(time.Millisecond) {
+	if !eventually(func() bool {
 		now := n.now()
 		n.told.mu.Lock()
+		defer n.told.mu.Unlock()
 		until = n.told.until
-		n.told.mu.Unlock()
-		if until <= now+most {
-			return until
-		}
-		if until-now > 6*second && most > 6*second {
-			break
-		}
+		return until <= now+most
+	}) {
+		t.Fatalf("it holds for %d more", until-n.now())
 	}
-	t.Fatalf("it holds for %d more", until-n.now())
-	return 0
+	return until
 }
 
 // Where lists are pushed, what the agent has counts as told at once, watch or none. So once a watch
@@ -116,9 +110,7 @@
 		discovery2 expect GET /catalog/members?watch=1&from=0`)
 	until := n.holds(t, 4*second)
 	n.do(func() { // an empty line of the address before: its word comes after the reload
-		n.told.mu.Lock()
-		n.told.posted++
-		n.told.mu.Unlock()
+		n.wordIsPosted()
 		n.watchSaid(tableWord{watch: n.before, event: scheduler.TableRead{At: n.now()}})
 	})
 	if again := n.holds(t, 4*second); again > until {
--- a/internal/node/region.go
+++ b/internal/node/region.go
@@ -273,26 +273,28 @@
 	}
 	if next == link.Drop && (idled || unsent) {
 		n.log.Warn("an answer that nobody asked for", "region", c.addr, "status", m.Status)
-		n.unlist(c)
+		n.unlist(c) // where it idled
 	}
 	switch e := e.(type) {
 	case scheduler.Withdrawn:
 		if m.Status >= 300 && m.Status != 404 {
-			n.log.Warn("withdrawal not taken", "region", m.conn.addr, "txn", m.conn.id, "status", m.Status)
+			n.log.Warn("withdrawal not taken", "region", c.addr, "txn", c.id, "status", m.Status)
 		}
 	case scheduler.Rejected:
-		n.log.Info("a region rejects a transaction", "region", m.conn.addr, "txn", m.conn.id, "status", m.Status)
+		n.log.Info("a region rejects a transaction", "region", c.addr, "txn", c.id, "status", m.Status)
 	case scheduler.Ended:
 		if e.Outcome == dahliaford.Failed && m.Status != 500 {
-			n.log.Warn("unexpected answer of a region", "region", m.conn.addr, "txn", m.conn.id, "status", m.Status)
+			n.log.Warn("unexpected answer of a region", "region", c.addr, "txn", c.id, "status", m.Status)
 		}
 	}
+	if next == link.Idle && n.keptFor == 0 {
+		next = link.Drop
+	}
 	if next == link.Idle {
-		m.conn.since = n.now()
-		n.links[m.conn.addr] = append(n.links[m.conn.addr], m.conn)
-		n.retireIdle() // where none is kept
+		c.since = n.now()
+		n.links[c.addr] = append(n.links[c.addr], c)
 	}
-	return n.linkNext(m.conn, next, e, nil)
+	return n.linkNext(c, next, e, nil)
 }
 
 // linkNext does with a connection what its state machine says, and passes on what that
@@ -395,7 +397,7 @@
 	if err != nil {
 		return err
 	}
-	text, begun := e.bytes(n.now(), c.addr), false
+	text := e.bytes(n.now(), c.addr)
 	for {
 		changed, held, out := n.told.next(), error(nil), 0
 		wait := raw.Write(func(fd uintptr) bool {
@@ -404,10 +406,8 @@
 				if held = n.told.may(e.uid, now); held == nil && now > e.writeBy {
 					held = os.ErrDeadlineExceeded
 				}
-				if held == nil && !begun {
-					if begun = c.begin(); !begun {
-						held = errGivenUp
-					}
+				if held == nil && !c.ordered && !c.begin() {
+					held = errGivenUp
 				}
 				if held != nil {
 					return true
--- a/internal/node/storm_test.go
+++ b/internal/node/storm_test.go
@@ -10,41 +10,11 @@
 	"testing"
 	"time"
 
-	"dahliaford/internal/http1"
+	"dahliaford/internal/record"
 	"dahliaford/internal/scheduler"
+	"dahliaford/internal/standin"
 )
 
-// obliging is a region that takes every job and every withdrawal, and keeps no connection open of
-// itself.
-func obliging(t *testing.T) net.Listener {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer conn.Close()
-				for r := http1.NewReader(conn); ; {
-					m, err := r.Request()
-					if err != nil {
-						return
-					}
-					io.WriteString(conn, map[string]string{"POST": "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n",
-						"DELETE": "HTTP/1.1 204 No Content\r\n\r\n"}[m.Method])
-				}
-			}()
-		}
-	}()
-	return l
-}
-
 // held counts what a node and its process hold.
 func held(n *Node) string {
 	var text string
@@ -66,14 +36,17 @@
 func TestStormsLeaveNothing(t *testing.T) {
 	w := newWorld(t, 0)
 	n := w.node
-	region := obliging(t).Addr().String()
+	region, err := standin.NewRegion("r1", "127.0.0.1:0", func() string { return n.Addr().String() },
+		func(standin.Job) standin.Plan { return standin.Plan{Run: 20 * time.Millisecond} }, func(record.Event) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(region.Close)
 	n.do(func() {
-		n.told.mu.Lock()
-		n.told.posted++
-		n.told.mu.Unlock()
+		n.wordIsPosted()
 		n.watchSaid(tableWord{watch: n.watch, event: scheduler.TableRead{At: n.now() + 3600*second,
 			Table: scheduler.Table{Rev: 5, All: true, Regions: []scheduler.Region{
-				{UID: "r1", Addr: region, Zone: "north", Kind: "m1", Status: 1}}}}})
+				{UID: "r1", Addr: region.Addr(), Zone: "north", Kind: "m1", Status: 1}}}}})
 	})
 	const job = "POST /%[1]s/7 HTTP/1.1\r\nX-Txn: %[2]s\r\nX-Lane: %[1]s\r\nX-Org: sahel\r\n" +
 		"X-Remaining-Ms: 30000\r\nContent-Length: 0\r\n\r\n"
@@ -110,14 +83,6 @@
 			conn.Close()
 		}
 	}
-	level := func(want string) (got string) {
-		for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
-			if got = held(n); got == want {
-				break
-			}
-		}
-		return got
-	}
 	storm(func() string { return "" }) // whatever starts with the first connections
 	time.Sleep(2 * sweepEvery)
 	before := held(n)
@@ -125,7 +90,8 @@
 		for range 3 {
 			storm(s.text)
 		}
-		if got := level(before); got != before {
+		var got string
+		if !eventually(func() bool { got = held(n); return got == before }) {
 			t.Errorf("%s:\nheld %s\nwas  %s", s.name, got, before)
 		}
 	}
--- a/internal/node/told.go
+++ b/internal/node/told.go
@@ -210,11 +210,18 @@
 // empty tells whether nothing lies in the socket: not a byte, nor its end.
 func (p *tap) empty() bool {
 	var one [1]byte
-	n := 0
-	p.conn.Control(func(fd uintptr) { n, _ = receive(fd, one[:], syscall.MSG_PEEK) })
+	n, _ := receiveNow(p.conn, one[:], syscall.MSG_PEEK)
 	return n == 0 // also once it is closed: discovery can write no more to it
 }
 
+// receiveNow reads what a socket has, without waiting.
+func receiveNow(raw syscall.RawConn, b []byte, flags int) (n int, err error) {
+	if wrong := raw.Control(func(fd uintptr) { n, err = receive(fd, b, flags) }); wrong != nil {
+		return 0, wrong
+	}
+	return n, err
+}
+
 // receive reads what a socket that never blocks has.
 func receive(fd uintptr, b []byte, flags int) (n int, err error) {
 	for {
--- a/internal/node/told_test.go
+++ b/internal/node/told_test.go
@@ -134,9 +134,7 @@
 	w := newWorld(t, 0, "r1", "r2")
 	n := w.node
 	n.do(func() {
-		n.told.mu.Lock()
-		n.told.posted++ // a word is in the inbox
-		n.told.mu.Unlock()
+		n.wordIsPosted()
 	})
 	play(t, w, "c1 send job post a1 || work\nwait open 1")
 	var first string
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -97,18 +97,15 @@
 		err = n.step(e)
 		n.told.apply(heard) // only now: those who leave are known
 	case scheduler.TableLost:
-		m.watch.ended = true
+		if m.watch.ended = true; m.watch != n.watch {
+			m.sure = 0 // nothing hangs on it any more
+		}
+		e.Until = n.told.lost(m.sure, e.Unread)
 		switch m.watch {
 		case n.watch:
-			e.Until = n.told.lost(m.sure, e.Unread)
 			err = n.step(e)
 		case n.before:
 			n.before = nil
-			fallthrough
-		default:
-			if e.Unread {
-				n.told.lost(0, true)
-			}
 		}
 	}
 	return err
--- a/internal/scheduler/scheduler_test.go
+++ b/internal/scheduler/scheduler_test.go
@@ -38,13 +38,18 @@
 	callers map[Caller]string // names
 }
 
-func newWorld(t *testing.T) *world {
+func parsed(t *testing.T, text string) settings.Settings {
 	t.Helper()
-	set, err := settings.Parse([]byte(testSettings))
+	set, err := settings.Parse([]byte(text))
 	if err != nil {
 		t.Fatal(err)
 	}
-	return newWorldOf(t, set)
+	return set
+}
+
+func newWorld(t *testing.T) *world {
+	t.Helper()
+	return newWorldOf(t, parsed(t, testSettings))
 }
 
 // newWorldOf is a world with settings of its own.
@@ -454,11 +459,7 @@
 // Where settings allow a second copy, the module would have one of a job whose region falls silent.
 // One task is out at a time here, so it must not ask: each time would use up an attempt.
 func TestSecondCopiesAreNotAskedFor(t *testing.T) {
-	set, err := settings.Parse([]byte(strings.Replace(testSettings, `"cancel":true`,
-		`"cancel":true,"may_duplicate":true`, 1)))
-	if err != nil {
-		t.Fatal(err)
-	}
+	set := parsed(t, strings.Replace(testSettings, `"cancel":true`, `"cancel":true,"may_duplicate":true`, 1))
 	scenario.Run(t, newWorldOf(t, set), `
 		discovery send r1=ready r2=ready
 		c1 send a1 batch sahel 20s
@@ -477,10 +478,7 @@
 	for _, longest := range []time.Duration{200 * time.Millisecond, 800 * time.Millisecond, 2 * time.Second,
 		20 * time.Second} {
 		t.Run(longest.String(), func(t *testing.T) {
-			set, err := settings.Parse([]byte(testSettings))
-			if err != nil {
-				t.Fatal(err)
-			}
+			set := parsed(t, testSettings)
 			for i := range set.Module.Classes {
 				set.Module.Classes[i].Deadline = Micros(longest.Microseconds())
 			}
