Keep the id of a rejected request in use where an earlier attempt may have run

Symptom: a client whose batch may have run was answered 400, 'it never ran', and the same id submitted again ran in another cell, whose workers do not drop the repeat. Cause: rejectAttempt freed the id and answered Invalid after every 400 of a worker, whatever had become of the attempts before. Ruled out: the dispatcher, which keeps each job in its cell; the second submission was a new job. Change: attempts record whether their outcome leaves open that they ran; if one does, a rejection is answered as failed and the id stays in use. This holds as every path to an attempt's end goes through endAttempt. The model checker gets the world reused, the mutant rejection-frees-id, and honest-answers for 400.

--- a/internal/dispatch/attempts.go
+++ b/internal/dispatch/attempts.go
@@ -56,7 +56,7 @@
 	if !turnedAway { // it is surer than a report that promises slots
 		d.learnReport(w, e.Report, j.slots)
 	}
-	a.mayHaveRun, a.handedBack = mayHaveRun(e.Outcome), e.Outcome == HandedBack
+	a.mayHaveRun, a.handedBack = e.Outcome.MayHaveRun(), e.Outcome == HandedBack
 	switch {
 	case !j.finished && (e.Final || e.Outcome == OK):
 		d.closeJob(j)
--- a/internal/dispatch/bookkeeping.go
+++ b/internal/dispatch/bookkeeping.go
@@ -38,7 +38,7 @@
 	return list
 }
 
-// mayHaveRun reports whether an outcome leaves open that the job ran.
-func mayHaveRun(o Outcome) bool {
+// MayHaveRun reports whether an outcome leaves open that the job ran.
+func (o Outcome) MayHaveRun() bool {
 	return o != AtCapacity && o != ConnectFailed && o != NotSent && o != HandedBack
 }
--- a/internal/modelcheck/checks.go
+++ b/internal/modelcheck/checks.go
@@ -30,6 +30,11 @@
 		}
 	case scheduler.Refused:
 		w.checkRefusal(q)
+	case scheduler.Invalid:
+		if w.requests[q.id].mayHaveRun != 0 {
+			w.violate(HonestAnswers, "%s is called invalid, as if it never ran, though it may have run",
+				w.requestID(q.id))
+		}
 	}
 }
 
--- a/internal/modelcheck/mutants/scheduler_mutants.go
+++ b/internal/modelcheck/mutants/scheduler_mutants.go
@@ -67,6 +67,18 @@
 			},
 		},
 	},
+	{
+		Name: "rejection-frees-id", World: "reused",
+		About: "an id is free again behind a rejection though an earlier attempt may have run",
+		Violates: "runs-as-allowed" +
+			" honest-answers",
+		Patches: []Patch{
+			{File: attemptsFile,
+				Old: "if a.request.mayHaveRun() {",
+				New: "if false {",
+			},
+		},
+	},
 	{
 		Name: "id-forgotten", World: "link",
 		About: "an id is forgotten too early",
--- a/internal/modelcheck/worlds.go
+++ b/internal/modelcheck/worlds.go
@@ -115,6 +115,15 @@
 		MaxFaults: 2,
 		Faults:    Budget{FaultConnectionBroken: 2},
 	},
+	{
+		Name:      "reused",
+		About:     "one district-batch, two workers in a rack and one outside, its id is submitted again",
+		Requests:  []Class{Batch},
+		Racks:     []int{0, 0, 1},
+		MaxFaults: 3,
+		Faults: Budget{FaultDuplicateID: 1, FaultRejected: 1, FaultJobAborted: 1, FaultServerError: 1,
+			FaultAtCapacity: 1},
+	},
 	{
 		Name:      "drains",
 		About:     "one district-batch, one worker comes and goes",
--- a/internal/modelcheck/worlds_test.go
+++ b/internal/modelcheck/worlds_test.go
@@ -26,7 +26,7 @@
 		without   []Fault
 	}{
 		{"attempt", 2, nil}, {"keyed", 1, nil}, {"link", 1, nil}, {"list", 1, nil}, {"crash", 1, nil},
-		{"late", 1, nil}, {"drains", 1, nil}, {"turned", 5, nil},
+		{"late", 1, nil}, {"reused", 3, []Fault{FaultAtCapacity}}, {"drains", 1, nil}, {"turned", 5, nil},
 		{"forbidden", 1, []Fault{FaultProcessCrash}},
 		{"leaves", 2, []Fault{FaultDuplicateID, FaultJobHandedBack}},
 		{"pushed", 1, []Fault{FaultConnectionBroken, FaultEndpointStatus}},
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -12,6 +12,7 @@
 	deadline      Micros
 	accepted      bool
 	ended         bool
+	mayHaveRun    bool   // by the outcome with which it ended
 	deferredUntil Micros // not sent before an earlier attempt is cancelled, nor after this; 0: sent
 }
 
@@ -89,12 +90,19 @@
 }
 
 // rejectAttempt answers a request that no worker can use. Its id becomes free again: an impostor may
-// have come before the client that the id belongs to.
+// have come before the client that the id belongs to. Where an earlier attempt may have run, Invalid
+// would deny that, and a new request of the same id could run at a worker that does not know of the
+// first run: the request fails, and its id stays in use.
 func (s *Scheduler) rejectAttempt(id AttemptID) {
 	a := s.byAttempt[id]
 	if a == nil || a.accepted {
 		return
 	}
+	if a.request.mayHaveRun() {
+		s.answer(a.request, Answer{Verdict: Failed})
+		s.endAttempt(a, dispatch.Cancelled, dispatch.Report{})
+		return
+	}
 	s.answer(a.request, Answer{Verdict: Invalid, Body: []byte("the worker cannot use it")})
 	s.endAttempt(a, dispatch.Cancelled, dispatch.Report{})
 	s.usedIDs.remove(a.request.id)
@@ -103,6 +111,7 @@
 // endAttempt closes an attempt and reports its outcome to the dispatcher.
 func (s *Scheduler) endAttempt(a *attempt, outcome dispatch.Outcome, report dispatch.Report) {
 	s.removeAttempt(a)
+	a.mayHaveRun = outcome.MayHaveRun()
 	if a.request.answered {
 		s.release(a.request)
 	}
--- a/internal/scheduler/fingerprint.go
+++ b/internal/scheduler/fingerprint.go
@@ -40,7 +40,7 @@
 			f.Ints(int64(a.id), int64(a.ordinal), int64(a.worker.number), int64(a.deadline),
 				int64(a.deferredUntil))
 			f.Text(a.addr)
-			f.Bools(a.accepted, a.ended)
+			f.Bools(a.accepted, a.ended, a.mayHaveRun)
 		}
 	}
 }
--- a/internal/scheduler/requests.go
+++ b/internal/scheduler/requests.go
@@ -33,6 +33,11 @@
 	return last != nil && !last.ended
 }
 
+// mayHaveRun reports whether the job may have run in an attempt that has ended.
+func (r *request) mayHaveRun() bool {
+	return slices.ContainsFunc(r.attempts, func(a *attempt) bool { return a.mayHaveRun })
+}
+
 func (s *Scheduler) submit(e *Submitted) {
 	class := slices.Index(s.settings.Classes, e.Class)
 	tenant := slices.Index(s.settings.Tenants, e.Tenant)
