Keep ids in use until the deduplication windows of their attempts are over

Symptom: a batch that ran in one cell ran again in another when a client submitted its id anew 20.4 s later, within its window of 30 s; 1 ms later it had been a conflict. Cause: ids were kept for the longest deadline of any class. An attempt may be sent until its deadline, and its window counts from there. Ruled out: the rotation of the two sets, which keeps each id for its whole period. Change: the period is the longest of deadline and, for keyed classes, deadline plus window; every submission is checked against that set, so no id comes back earlier. The model checker's walks get the world large-ids; its properties count an id anew once its longest time is over, or its attempts behind a 400 of what never ran (a trace showed 5 attempts of two jobs).

--- a/internal/modelcheck/effects.go
+++ b/internal/modelcheck/effects.go
@@ -133,6 +133,9 @@
 	w.checkOneAnswer(q)
 	w.checkHonest(q, a)
 	q.state, q.verdict = answered, a.Verdict
+	if a.Verdict != scheduler.Conflict { // which is about another submission than the one before
+		w.requests[q.id].rejected = a.Verdict == scheduler.Invalid
+	}
 }
 
 var verdictTexts = [...]string{scheduler.Served: "serves", scheduler.Refused: "refuses",
--- a/internal/modelcheck/mutants/mutants.go
+++ b/internal/modelcheck/mutants/mutants.go
@@ -18,6 +18,7 @@
 	About   string // what the fault is
 	Patches []Patch
 	World   string // the world in which the fault must show
+	Walk    bool   // the world is walked at random: it has no end
 	// Violates names the properties that may break by it, separated by spaces.
 	Violates string
 	// OnlyInWorld says that the fault shows under the settings of its world alone: it must not be found in
--- a/internal/modelcheck/mutants/scheduler_mutants.go
+++ b/internal/modelcheck/mutants/scheduler_mutants.go
@@ -79,6 +79,18 @@
 			},
 		},
 	},
+	{
+		Name: "id-outlived", World: "large-ids", Walk: true,
+		About: "an id is free again while its deduplication window lasts",
+		Violates: "runs-as-allowed" +
+			" honest-answers",
+		Patches: []Patch{
+			{File: requestsFile,
+				Old: "return class.Deadline + class.DedupWindow",
+				New: "return class.Deadline",
+			},
+		},
+	},
 	{
 		Name: "id-forgotten", World: "link",
 		About: "an id is forgotten too early",
--- a/internal/modelcheck/requests.go
+++ b/internal/modelcheck/requests.go
@@ -28,6 +28,8 @@
 
 	// What follows is about the id, and kept with the first request that had it.
 
+	acceptedAt      Micros    // when the last submission that the scheduler accepted came
+	rejected        bool      // that one was answered as invalid
 	attempts        uint8     // attempts that reached a worker
 	starts          uint8     // attempts that may have run
 	mayHaveRun      workerSet // where an attempt may have run
@@ -133,10 +135,28 @@
 }
 
 func (w *World) submit(q *request) {
+	w.forgetRuns(q.id)
 	w.lastCaller++
 	q.state, q.caller, q.deadline = open, w.lastCaller, w.now+q.class.deadline()
 	w.step(scheduler.Submitted{Caller: q.caller, ID: w.requestID(q.id), Class: q.class.String(), Tenant: tenant,
 		Deadline: q.deadline, Slots: 1})
+	if q.state != answered || q.verdict != scheduler.Invalid && q.verdict != scheduler.Conflict {
+		w.requests[q.id].acceptedAt = w.now
+	}
+}
+
+// forgetRuns lets the next submission of an id count as a job of its own, once nothing is left of the last one and
+// no attempt of that can be within its window any more: each was sent before the deadline of the last one. Behind a
+// rejection it is one at once where nothing may have run, and has its own attempts.
+func (w *World) forgetRuns(id uint8) {
+	q := &w.requests[id]
+	if q.rejected && q.mayHaveRun == 0 {
+		q.attempts = 0
+	}
+	if q.acceptedAt == 0 || w.now-q.acceptedAt <= q.class.deadline()+dedupWindow || w.inUse(id) {
+		return
+	}
+	q.attempts, q.starts, q.mayHaveRun, q.firstRunSentAt, q.resultsBy = 0, 0, 0, 0, 0
 }
 
 func (w *World) renewRequest(a Action) {
--- a/internal/scheduler/requests.go
+++ b/internal/scheduler/requests.go
@@ -141,8 +141,18 @@
 	s.stepDispatcher(dispatch.Event{Kind: dispatch.ClientDisconnected, Job: r.job})
 }
 
-// recentIDs holds the request ids of the last while: each for as long as a class waits at most, and
-// no longer than twice that.
+// idRetention is how long after its submission an id of a class stays in use. Its last attempt may leave
+// just before the deadline, and a repeat of a keyed one is dropped for a window after that, but only at
+// workers within its dedup scope: until then, a new request of the same id could run elsewhere.
+func idRetention(class *dispatch.Class) Micros {
+	if class.Effect == dispatch.Keyed {
+		return class.Deadline + class.DedupWindow
+	}
+	return class.Deadline
+}
+
+// recentIDs holds the request ids of the last while: each for as long as idRetention asks of any class,
+// and no longer than twice that.
 type recentIDs struct {
 	current, previous map[string]bool
 	rotatedAt         Micros
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -27,6 +27,7 @@
 	byJob       map[dispatch.JobID]*request
 	usedIDs     recentIDs
 	maxDeadline Micros // the longest deadline of any class
+	idRetention Micros // how long an id is in usedIDs at least
 	lastJob     dispatch.JobID
 
 	byAttempt         map[AttemptID]*attempt // live attempts
@@ -76,6 +77,7 @@
 	}
 	for _, class := range set.Dispatch.Classes {
 		s.maxDeadline = max(s.maxDeadline, class.Deadline)
+		s.idRetention = max(s.idRetention, idRetention(&class))
 	}
 	// One attempt of a request is out at a time here, whatever the settings allow: the dispatcher
 	// must not ask for hedged attempts, each of which would use up one of a job's attempts for nothing.
@@ -92,7 +94,7 @@
 // backwards from one call to the next.
 func (s *Scheduler) Step(now Micros, e Event, out []Effect) []Effect {
 	s.now, s.effects = now, out
-	s.usedIDs.rotate(now, s.maxDeadline)
+	s.usedIDs.rotate(now, s.idRetention)
 	s.handle(e)
 	s.fireTimers()
 	s.advanceShutdown()
