Show that a retry waits for an unacknowledged cancellation for 15 s only, by a failing test

Symptom: a batch whose first worker is cut off and may hold it goes to a second worker of its cell after 15 s, while the first neither ended nor was given up there: a second copy.

--- /dev/null
+++ b/internal/scheduler/cancellation_test.go
@@ -0,0 +1,58 @@
+package scheduler
+
+import (
+	"strings"
+	"testing"
+
+	"dahliaford/internal/dispatch"
+)
+
+// The connection of a batch's first attempt breaks before its 202, and its worker's machine is cut off: it may hold
+// the job, and its cancellation is not acknowledged. A retry waits for that. 15 s later the cancellation was given up,
+// and with it the wait: at 16 s the job was sent to a second worker of the cell while the first, back by then, could
+// still run it, a second copy of a job that may be repeated only after the first copy has ended or been given up.
+//
+// cancellationLifetime was the same for all, and the deadline of that class is 20 s. The log line "job cancellation
+// failed: its worker may run it for no caller" came 15 s after the break though the caller waited, and behind it
+// "SendAttempt a1 to r2".
+func TestRetryWaitsForAnAcknowledgedCancellationUntilTheDeadline(t *testing.T) {
+	for _, outage := range []string{"1s", "14s", "16s", "18s"} {
+		t.Run(outage, func(t *testing.T) {
+			const patientClass = `"slo":19500000`
+			text := strings.Replace(testSettings, `"slo":500000`, patientClass, 1)
+			w := newWorldOf(t, parseSettings(t, text))
+			w.announce(0, dispatch.Ready, "r1")
+			w.play(t, `
+				c1 send a1 batch sahel 20s
+				r1 expect a1 payload written in 250ms done in 19.996s
+				r1 close a1
+				r1 expect cancel a1
+				wait `+outage)
+			w.announce(0, dispatch.Ready, "r2")
+			w.play(t, `
+				wait 1s
+				r2 expect nothing
+				wait 30s
+				c1 expect failed
+				r2 expect nothing
+				log expect job cancellation failed: its worker may run it for no caller
+				log expect nothing`)
+		})
+	}
+}
+
+// Once its worker has acknowledged the cancellation, the job goes on, however late that is.
+func TestRetryGoesOnOnceTheCancellationIsAcknowledged(t *testing.T) {
+	text := strings.Replace(testSettings, `"slo":500000`, `"slo":19500000`, 1)
+	w := newWorldOf(t, parseSettings(t, text))
+	w.announce(0, dispatch.Ready, "r1")
+	w.play(t, `
+		c1 send a1 batch sahel 20s
+		r1 expect a1 payload written in 250ms done in 19.996s
+		r1 close a1
+		r1 expect cancel a1
+		wait 16s
+		r1 send acknowledged a1`)
+	w.announce(0, dispatch.Ready, "r2")
+	w.play(t, `r2 expect a1 payload written in 250ms done in 3.996s`)
+}
