Retry a cancellation for as long as its request is open

Symptom: a batch whose first worker was cut off and may hold it went to a second worker 15 s later: a second copy. Cause: a cancellation was given up 15 s after it began, and a retry that waits for it took that for acknowledged; classes with a longer deadline still have time then. Change: it is given up only once the request is answered.

--- a/internal/modelcheck/mutants/scheduler_mutants.go
+++ b/internal/modelcheck/mutants/scheduler_mutants.go
@@ -62,7 +62,7 @@
 		Violates: "called-back",
 		Patches: []Patch{
 			{File: cancellationsFile,
-				Old: "if s.now+wait >= c.giveUpAt {",
+				Old: "if c.attempt.request.answered && s.now+wait >= c.giveUpAt {",
 				New: "if true {",
 			},
 		},
--- a/internal/scheduler/cancellation_test.go
+++ b/internal/scheduler/cancellation_test.go
@@ -51,8 +51,8 @@
 		r1 expect a1 payload written in 250ms done in 19.996s
 		r1 close a1
 		r1 expect cancel a1
-		wait 16s
+		wait 17s
 		r1 send acknowledged a1`)
 	w.announce(0, dispatch.Ready, "r2")
-	w.play(t, `r2 expect a1 payload written in 250ms done in 3.996s`)
+	w.play(t, `r2 expect a1 payload written in 250ms done in 2.996s`)
 }
--- a/internal/scheduler/cancellations.go
+++ b/internal/scheduler/cancellations.go
@@ -11,8 +11,8 @@
 	maxCancellationBackoff Micros = 2 * second
 	// maxBackoffDoublings keeps the shift in bounds; the maximum is reached before it.
 	maxBackoffDoublings = 6
-	// cancellationLifetime is how long a cancellation is retried at all. After it, the worker still
-	// has what came with the attempt: how long anybody would wait.
+	// cancellationLifetime is how long a cancellation is retried whose request is answered. After it,
+	// the worker still has what came with the attempt: how long anybody would wait.
 	cancellationLifetime Micros = 15 * second
 )
 
@@ -95,11 +95,13 @@
 	}
 }
 
-// retryCancellation sends a cancellation again after a wait, or gives it up.
+// retryCancellation sends a cancellation again after a wait, or gives it up. While its request is open it is
+// never given up: the request's next attempt waits for it, and would be a second copy of the first without. The
+// request's deadline ends that.
 func (s *Scheduler) retryCancellation(c *cancellation) {
 	doublings := min(c.sends-1, maxBackoffDoublings)
 	wait := min(cancellationBackoff<<doublings, maxCancellationBackoff)
-	if s.now+wait >= c.giveUpAt {
+	if c.attempt.request.answered && s.now+wait >= c.giveUpAt {
 		s.warn("job cancellation failed: its worker may run it for no caller", "txn", c.attempt.request.id,
 			"worker", c.attempt.worker.UID)
 		s.removeCancellation(c)
