Tell a worker the time that is left when an attempt's first byte is sent

Cause: the request was encoded before the last check, which waits for updates of the worker list that are not applied yet, until the attempt's send-by: the connect timeout at most. Change: it is encoded behind the check, in the call that writes the first byte; nothing waits in between.

--- a/internal/node/worker_write.go
+++ b/internal/node/worker_write.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	w := attemptWriter{conn: c, exchange: e, request: e.encode(c.node.now(), c.addr)}
+	w := newAttemptWriter(c, e)
 	writeReady := w.writeReady
 	for {
 		changed := c.node.freshness.nextChange()
@@ -85,10 +85,14 @@
 type attemptWriter struct {
 	conn     *workerConn
 	exchange *exchange
-	request  []byte
-	sent     int   // bytes of the request
-	blocked  error // why nothing may be written now; nil: nothing blocks it
-	err      error // of the last write
+	request  []byte // encoded when its first byte can be sent
+	sent     int    // bytes of the request
+	blocked  error  // why nothing may be written now; nil: nothing blocks it
+	err      error  // of the last write
+}
+
+func newAttemptWriter(c *workerConn, e *exchange) *attemptWriter {
+	return &attemptWriter{conn: c, exchange: e}
 }
 
 // writeReady writes what the socket takes. It is called by syscall.RawConn.Write and returns false to wait
@@ -97,6 +101,10 @@
 	if w.blocked = w.check(); w.blocked != nil {
 		return true
 	}
+	if w.sent == 0 {
+		// Not before: the check may have waited for an update, and the worker is told the time that is left.
+		w.request = w.exchange.encode(w.conn.node.now(), w.conn.addr)
+	}
 	var sent int
 	if sent, w.err = writeSocket(fd, w.request[w.sent:]); errors.Is(w.err, syscall.EAGAIN) {
 		return false
