Give dispatchers beyond the stated number no worker in slow start

Cause: in a large fleet without gossip owners go by the position on the ring, which a dispatcher beyond the stated number has as well; the budget is divided by the owners among those that are stated. Change: such a dispatcher owns none, so the sum is that of the stated number by construction.

--- a/internal/dispatch/slowstart.go
+++ b/internal/dispatch/slowstart.go
@@ -35,9 +35,10 @@
 	return w.slowStartBudget >= min(d.slowStartCost(j), limit)
 }
 
-// slowStartOwner reports whether this dispatcher may send to a worker in slow start.
+// slowStartOwner reports whether this dispatcher may send to a worker in slow start. One whose number is
+// beyond those that the settings state would be an owner too many.
 func (d *Dispatcher) slowStartOwner(w *worker) bool {
-	if d.withoutGossip() {
+	if d.withoutGossip() && d.settings.Index < d.settings.Dispatchers {
 		return d.distanceFrom(d.position, w) < d.reach*d.slowStartOwners(w)/d.sharing()
 	}
 	return d.ownerByNumber(w)
