--- a/internal/dispatch/slowstart_stated_test.go
+++ b/internal/dispatch/slowstart_stated_test.go
@@ -2,9 +2,10 @@
 
 import "testing"
 
-// Settings may state fewer dispatchers than there are. Each dispatcher beyond them owned workers in slow start by its
-// position on the ring, as if it were one of those that are stated, so that the owners' parts of a budget came to more
-// than the whole: up to 1.70 of the limit with twice as many alive, in 24 of 65 simulations.
+// Settings may state fewer dispatchers than there are. Each dispatcher beyond them owned workers in slow
+// start by its position on the ring, as if it were one of those that are stated, so that the owners' parts
+// of a budget came to more than the whole: up to 1.70 of the limit with twice as many alive, in 24 of 65
+// simulations.
 func TestDispatcherBeyondTheStatedNumberOwnsNone(t *testing.T) {
 	list := testFleet(60)
 	for _, stated := range []int{1, 8, 9, 30} {
