--- a/cmd/schedbench/modelcheck.go
+++ b/cmd/schedbench/modelcheck.go
@@ -71,8 +71,8 @@
 	return c.report(cfg, result, time.Since(began))
 }
 
-// config is the world that is explored. A walk goes through the large one unless --world names another whose name
-// begins like its own: one of WalkedWorlds, or the large one with the rules of another.
+// config is the world that is explored. A walk goes through the large one unless --world names another whose
+// name begins like its own: one of WalkedWorlds, or the large one with the rules of another.
 func (c *modelCheckCmd) config() (*modelcheck.Config, error) {
 	if c.Walk {
 		large := modelcheck.LargeWorld()
--- a/internal/modelcheck/requests.go
+++ b/internal/modelcheck/requests.go
@@ -145,9 +145,9 @@
 	}
 }
 
-// forgetRuns lets the next submission of an id count as a job of its own, once nothing is left of the last one and
-// no attempt of that can be within its window any more: each was sent before the deadline of the last one. Behind a
-// rejection it is one at once where nothing may have run, and has its own attempts.
+// forgetRuns lets the next submission of an id count as a job of its own, once nothing is left of the last
+// one and no attempt of that can be within its window any more: each was sent before the deadline of the
+// last one. Behind a rejection it is one at once where nothing may have run, and has its own attempts.
 func (w *World) forgetRuns(id uint8) {
 	q := &w.requests[id]
 	if q.rejected && q.mayHaveRun == 0 {
--- a/internal/modelcheck/worlds.go
+++ b/internal/modelcheck/worlds.go
@@ -242,8 +242,8 @@
 	return c
 }
 
-// LargeIDsWorld returns a world in which each id is submitted again and again, long after its answer, too. It is
-// walked at random.
+// LargeIDsWorld returns a world in which each id is submitted again and again, long after its answer, too.
+// It is walked at random.
 func LargeIDsWorld() *Config {
 	return &Config{
 		Name:          "large-ids",
--- a/internal/node/remaining_test.go
+++ b/internal/node/remaining_test.go
@@ -12,12 +12,12 @@
 	"dahliaford/internal/scheduler"
 )
 
-// An attempt tells its worker how long its client still waits. That time was computed before the last check, and the
-// check waits for an update of the worker list that is not applied yet: for 250 ms at most, the connect timeout. The
-// worker was told that much more than was left, and the pages allow 150 ms.
+// An attempt tells its worker how long its client still waits. That time was computed before the last check,
+// and the check waits for an update of the worker list that is not applied yet: for 250 ms at most, the
+// connect timeout. The worker was told that much more than was left, and the pages allow 150 ms.
 //
-// writeAttempt encoded the request before it called the check for the first time. Seen in this test, every time: a
-// remaining time of 30,000 ms told 200 ms after that was so.
+// writeAttempt encoded the request before it called the check for the first time. Seen in this test, every
+// time: a remaining time of 30,000 ms told 200 ms after that was so.
 func TestRemainingTimeIsThatOfTheFirstByte(t *testing.T) {
 	const wait = 200 * millisecond
 	n := newWorld(t, 0, "r1").node
--- a/internal/scheduler/cancellation_test.go
+++ b/internal/scheduler/cancellation_test.go
@@ -7,14 +7,15 @@
 	"dahliaford/internal/dispatch"
 )
 
-// The connection of a batch's first attempt breaks before its 202, and its worker's machine is cut off: it may hold
-// the job, and its cancellation is not acknowledged. A retry waits for that. 15 s later the cancellation was given up,
-// and with it the wait: at 16 s the job was sent to a second worker of the cell while the first, back by then, could
-// still run it, a second copy of a job that may be repeated only after the first copy has ended or been given up.
+// The connection of a batch's first attempt breaks before its 202, and its worker's machine is cut off: it
+// may hold the job, and its cancellation is not acknowledged. A retry waits for that. 15 s later the
+// cancellation was given up, and with it the wait: at 16 s the job was sent to a second worker of the cell
+// while the first, back by then, could still run it, a second copy of a job that may be repeated only after
+// the first copy has ended or been given up.
 //
-// cancellationLifetime was the same for all, and the deadline of that class is 20 s. The log line "job cancellation
-// failed: its worker may run it for no caller" came 15 s after the break though the caller waited, and behind it
-// "SendAttempt a1 to r2".
+// cancellationLifetime was the same for all, and the deadline of that class is 20 s. The log line "job
+// cancellation failed: its worker may run it for no caller" came 15 s after the break though the caller
+// waited, and behind it "SendAttempt a1 to r2".
 func TestRetryWaitsForAnAcknowledgedCancellationUntilTheDeadline(t *testing.T) {
 	for _, outage := range []string{"1s", "14s", "16s", "18s"} {
 		t.Run(outage, func(t *testing.T) {
--- a/internal/scheduler/cancellations.go
+++ b/internal/scheduler/cancellations.go
@@ -96,8 +96,8 @@
 }
 
 // retryCancellation sends a cancellation again after a wait, or gives it up. While its request is open it is
-// never given up: the request's next attempt waits for it, and would be a second copy of the first without. The
-// request's deadline ends that.
+// never given up: the request's next attempt waits for it, and would be a second copy of the first without.
+// The request's deadline ends that.
 func (s *Scheduler) retryCancellation(c *cancellation) {
 	doublings := min(c.sends-1, maxBackoffDoublings)
 	wait := min(cancellationBackoff<<doublings, maxCancellationBackoff)
--- a/internal/scheduler/id_reuse_test.go
+++ b/internal/scheduler/id_reuse_test.go
@@ -26,13 +26,14 @@
 	scenario.Run(t, w, script, func(want, got string) string { return cmp.Diff(want, got) })
 }
 
-// A batch was sent to a worker, began, and was aborted: it may have run, and only the workers of the same cell drop
-// a repeat of it. Its next attempt, in that cell, got 400. The client was answered 400, which says that the job never
-// ran, and its id became free at once. Submitted again under that id, the job was a new one to the dispatcher: once
-// the first cell drained it ran in the other one, which knows nothing of the first run.
+// A batch was sent to a worker, began, and was aborted: it may have run, and only the workers of the same
+// cell drop a repeat of it. Its next attempt, in that cell, got 400. The client was answered 400, which says
+// that the job never ran, and its id became free at once. Submitted again under that id, the job was a new
+// one to the dispatcher: once the first cell drained it ran in the other one, which knows nothing of the
+// first run.
 //
-// rejectAttempt took the id off usedIDs without a look at the attempts before the rejected one. The effects seen,
-// every time: "Answer invalid" in place of failed, and "SendAttempt a1 to r3" in place of a conflict.
+// rejectAttempt took the id off usedIDs without a look at the attempts before the rejected one. The effects
+// seen, every time: "Answer invalid" in place of failed, and "SendAttempt a1 to r3" in place of a conflict.
 func TestIDStaysInUseAfterARejectionBehindAnAttemptThatMayHaveRun(t *testing.T) {
 	w := newWorld(t)
 	w.announce(0, dispatch.Ready, "r1")
@@ -55,12 +56,13 @@
 		r3 expect nothing`)
 }
 
-// A batch was served 20.4 s ago by a cell whose workers drop a repeat of it for 30 s. Its id was free again, as ids
-// were kept for the longest deadline of any class, 20 s, and not for the window: submitted again under its id while
-// that cell drained, it ran a second time, in the other cell.
+// A batch was served 20.4 s ago by a cell whose workers drop a repeat of it for 30 s. Its id was free again,
+// as ids were kept for the longest deadline of any class, 20 s, and not for the window: submitted again
+// under its id while that cell drained, it ran a second time, in the other cell.
 //
-// Step dropped the id at the second rotation of usedIDs, whose period was maxDeadline alone. The effect seen, every
-// time: "SendAttempt a1 to r2" where a conflict is due until 30 s after the first attempt was sent.
+// Step dropped the id at the second rotation of usedIDs, whose period was maxDeadline alone. The effect
+// seen, every time: "SendAttempt a1 to r2" where a conflict is due until 30 s after the first attempt was
+// sent.
 func TestIDStaysInUseUntilItsDedupWindowIsOver(t *testing.T) {
 	for _, later := range []string{"1ms", "20400ms", "29900ms"} {
 		t.Run(later, func(t *testing.T) {
