Start both tests of a waiting retry by one function, and drop a constructor without a job

Read-through: the two tests repeated their settings and first events; newAttemptWriter only named two fields. Behaviour and assertions stay.

--- a/internal/node/remaining_test.go
+++ b/internal/node/remaining_test.go
@@ -31,7 +31,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	writer := newAttemptWriter(c, e)
+	writer := attemptWriter{conn: c, exchange: e}
 
 	n.freshness.countPosted(&watchReader{emptyAt: began}, began) // an update that is not applied
 	if err := raw.Write(writer.writeReady); err != nil || !errors.Is(writer.blocked, errUnapplied) {
--- a/internal/node/worker_write.go
+++ b/internal/node/worker_write.go
@@ -49,7 +49,7 @@
 	if err != nil {
 		return err
 	}
-	w := newAttemptWriter(c, e)
+	w := attemptWriter{conn: c, exchange: e}
 	writeReady := w.writeReady
 	for {
 		changed := c.node.freshness.nextChange()
@@ -91,10 +91,6 @@
 	err      error  // of the last write
 }
 
-func newAttemptWriter(c *workerConn, e *exchange) *attemptWriter {
-	return &attemptWriter{conn: c, exchange: e}
-}
-
 // writeReady writes what the socket takes. It is called by syscall.RawConn.Write and returns false to wait
 // until the socket takes more.
 func (w *attemptWriter) writeReady(fd uintptr) (done bool) {
--- a/internal/scheduler/cancellation_test.go
+++ b/internal/scheduler/cancellation_test.go
@@ -7,6 +7,21 @@
 	"dahliaford/internal/dispatch"
 )
 
+// newWorldWithCancellation has a batch whose worker may hold it and has been sent a cancellation. The class
+// has time enough for the batch to wait for that.
+func newWorldWithCancellation(t *testing.T) *world {
+	t.Helper()
+	const patientClass = `"slo":19500000`
+	w := newWorldOf(t, parseSettings(t, strings.Replace(testSettings, `"slo":500000`, patientClass, 1)))
+	w.announce(0, dispatch.Ready, "r1")
+	w.play(t, `
+		c1 send a1 batch sahel 20s
+		r1 expect a1 payload written in 250ms done in 19.996s
+		r1 close a1
+		r1 expect cancel a1`)
+	return w
+}
+
 // The connection of a batch's first attempt breaks before its 202, and its worker's machine is cut off: it
 // may hold the job, and its cancellation is not acknowledged. A retry waits for that. 15 s later the
 // cancellation was given up, and with it the wait: at 16 s the job was sent to a second worker of the cell
@@ -19,16 +34,8 @@
 func TestRetryWaitsForAnAcknowledgedCancellationUntilTheDeadline(t *testing.T) {
 	for _, outage := range []string{"1s", "14s", "16s", "18s"} {
 		t.Run(outage, func(t *testing.T) {
-			const patientClass = `"slo":19500000`
-			text := strings.Replace(testSettings, `"slo":500000`, patientClass, 1)
-			w := newWorldOf(t, parseSettings(t, text))
-			w.announce(0, dispatch.Ready, "r1")
-			w.play(t, `
-				c1 send a1 batch sahel 20s
-				r1 expect a1 payload written in 250ms done in 19.996s
-				r1 close a1
-				r1 expect cancel a1
-				wait `+outage)
+			w := newWorldWithCancellation(t)
+			w.play(t, "wait "+outage)
 			w.announce(0, dispatch.Ready, "r2")
 			w.play(t, `
 				wait 1s
@@ -44,14 +51,8 @@
 
 // Once its worker has acknowledged the cancellation, the job goes on, however late that is.
 func TestRetryGoesOnOnceTheCancellationIsAcknowledged(t *testing.T) {
-	text := strings.Replace(testSettings, `"slo":500000`, `"slo":19500000`, 1)
-	w := newWorldOf(t, parseSettings(t, text))
-	w.announce(0, dispatch.Ready, "r1")
+	w := newWorldWithCancellation(t)
 	w.play(t, `
-		c1 send a1 batch sahel 20s
-		r1 expect a1 payload written in 250ms done in 19.996s
-		r1 close a1
-		r1 expect cancel a1
 		wait 17s
 		r1 send acknowledged a1`)
 	w.announce(0, dispatch.Ready, "r2")
