--- a/internal/dispatch/slowstart_stated_test.go
+++ b/internal/dispatch/slowstart_stated_test.go
@@ -51,3 +51,20 @@
 		})
 	}
 }
+
+// On three of 65 seeds that nobody had pinned it doesn't: 1.06, 1.11 and 1.01 of the limit, where the stated
+// dispatchers alone own the workers. The owners of long requests send too much by themselves (see
+// TestSlowStartFleetOfLongRequestsKeepsItsLimit); why steep is over, which holds with as many as are stated,
+// isn't traced.
+func TestSlowStartFleetKeepsItsLimitWithMoreDispatchersThanStatedOnOtherSeeds(t *testing.T) {
+	for _, c := range []rampCase{
+		{deployment: &allDeployments[1], dispatchers: 20, statedDispatchers: 10, workers: 16, seed: 17144},
+		{deployment: &allDeployments[1], dispatchers: 30, statedDispatchers: 15, workers: 60, seed: 17061},
+		{deployment: &allDeployments[2], dispatchers: 300, statedDispatchers: 150, workers: 100, seed: 17424},
+	} {
+		c.restarted, c.load, c.maxDelay = -1, 1.2, 2*second
+		if seen := c.run(t); seen.informed > 1 || seen.all > 1 {
+			t.Errorf("those who knew sent %.2f of the limit, all %.2f: %v", seen.informed, seen.all, &c)
+		}
+	}
+}
