--- a/review/standin/keyed.go
+++ b/review/standin/keyed.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -58,8 +59,8 @@
 		return "done"
 	}
 	var targets []target
-	for i, uid := range []string{"s-00000001", "s-00000002", "s-00000003"} {
-		w := newWorker(r, uid, func() string { return addr }, nil)
+	for i := range 6 {
+		w := newWorker(r, fmt.Sprintf("s-%08x", i+1), func() string { return addr }, nil)
 		w.run = func(j *job) string { return run(w, j) }
 		targets = append(targets, w.target(i))
 	}
