--- a/review/standin/crowd.go
+++ b/review/standin/crowd.go
@@ -21,8 +21,8 @@
 	answerSlack = 550 * time.Millisecond
 )
 
-// crowdCase plays clients that send requests without an id, the same again as soon as it is turned away, while
-// other clients rest. It checks that each request of the usual clients is answered in time.
+// crowdCase plays clients that send requests without an id, the same again as soon as it is turned away,
+// while other clients rest. It checks that each request of the usual clients is answered in time.
 func crowdCase(r *rig, trouble bool) bool {
 	addr := r.freeAddr()
 	run := func(j *job) string {
