Let the response on a closing connection end it, whatever the request was

Cause: waitIdle gives a closing connection a grace in which one more request is answered. Only submit then closed; rejections, health checks and callbacks kept the connection open, and the next request within the grace got the same again, without end. evictClients counts each closing connection as free soon and evicted nothing else.

Change: respond ends every connection whose close was asked for; rejectRequest also ends one while no slot is free, as submit did. So a closing connection answers one request more at most. The same holds for a shutdown.

Two tests expected the fault: TestEvictionCrossesTheRequest wanted 200 without a close from an evicted connection, and the stage closing of TestEventsInEachStageOfShutdown 204 without one; both now want the same status and the close, as strictly.

--- a/internal/node/acceptor.go
+++ b/internal/node/acceptor.go
@@ -103,6 +103,9 @@
 
 func (n *Node) releaseSlot() { <-n.clientSlots }
 
+// hasFreeSlot reports whether a client slot is free, so that the acceptor does not wait for one.
+func (n *Node) hasFreeSlot() bool { return len(n.clientSlots) < cap(n.clientSlots) }
+
 // hasQueuedConn reports whether a connection waits in the listener's queue to be accepted.
 func (n *Node) hasQueuedConn() bool {
 	raw, err := n.listener.SyscallConn()
--- a/internal/node/client.go
+++ b/internal/node/client.go
@@ -112,6 +112,9 @@
 	}
 }
 
+// closing reports whether the connection should be closed as soon as it is idle.
+func (c *client) closing() bool { return c.ctx.Err() != nil }
+
 // awaitRequest waits in a new goroutine until the first byte of the next request arrives, or until reading
 // fails, for example because the client disconnects. No other goroutine may read the connection until the
 // result has been received from the channel.
--- a/internal/node/eviction_test.go
+++ b/internal/node/eviction_test.go
@@ -109,13 +109,13 @@
 
 // A client that was evicted while its first request became complete gets a refusal, and the request is not
 // submitted. Eviction does not interrupt reading from clients of a higher rank, because that could lose a
-// request.
+// request: such a request is served, and the response says that the connection closes.
 func TestEvictionCrossesTheRequest(t *testing.T) {
 	w := newHarness(t, 0, "r1")
 	for rank, want := range map[clientRank]string{
 		rankEvicted:     "503 close",
 		rankNew:         "200",
-		rankEstablished: "200",
+		rankEstablished: "200 close",
 	} {
 		c, theirs := pipedClient(w.node)
 		c.rank.store(rank)
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -76,11 +76,13 @@
 	}
 }
 
-// rejectRequest responds to an invalid request. It reports whether the connection stays open.
+// rejectRequest responds to an invalid request. It reports whether the connection stays open: not if no client
+// slot is free, because other clients wait for the slot.
 func (c *client) rejectRequest(receivedAt scheduler.Micros, r *http1.Request, status int, why string) bool {
 	from, id := c.conn.RemoteAddr().String(), r.Header.Get("X-Txn")
 	c.node.log.Warn("bad request", "from", from, "txn", id, "why", why)
-	return c.respond(receivedAt, response{status: status, closeConn: r.Close, body: []byte(why + "\n")})
+	return c.respond(receivedAt, response{status: status, closeConn: r.Close || !c.node.hasFreeSlot(),
+		body: []byte(why + "\n")})
 }
 
 // serveHealth responds to a health check. A status of 503 tells front ends not to send clients to this node.
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -21,7 +21,7 @@
 // response is a response to a client's request.
 type response struct {
 	status     int
-	closeConn  bool   // closeConn says that the node closes the connection after the response.
+	closeConn  bool   // closeConn says that the node closes the connection after the response in any case.
 	retryAfter string // retryAfter is the Retry-After header in seconds; empty means no header.
 	body       []byte
 }
@@ -42,8 +42,11 @@
 	return strconv.FormatFloat(float64(wait)/1e6, 'f', -1, 64)
 }
 
-// respond writes a response with a single write call. It reports whether the connection stays open.
+// respond writes a response with a single write call. It reports whether the connection stays open. If the
+// connection should be closed, the response ends it: a client that sends its next request at once would
+// otherwise keep the connection open without end.
 func (c *client) respond(deadline scheduler.Micros, r response) bool {
+	r.closeConn = r.closeConn || c.closing()
 	connection := ""
 	if r.closeConn {
 		connection = "close"
--- a/internal/node/shutdown_test.go
+++ b/internal/node/shutdown_test.go
@@ -151,7 +151,7 @@
 	}, func(t *testing.T, w *harness) {
 		w.writeRaw(t, "c3", "X-Org: sahel\r\nX-Txn: z1\r\nX-Remaining-Ms: 900\r\nContent-Length: 0\r\n\r\n")
 		w.writeRaw(t, "back3", fmt.Sprintf("Content-Length: %d\r\n\r\n%s", len(stale), stale))
-		runScenario(t, w, "c3 expect 503 after 0 close\nback3 expect 204\nwait end")
+		runScenario(t, w, "c3 expect 503 after 0 close\nback3 expect 204 close\nwait end")
 	}},
 }
 
--- a/internal/node/submit.go
+++ b/internal/node/submit.go
@@ -114,8 +114,7 @@
 		c.closeDisconnected(receivedAt, err)
 		return nil, false
 	}
-	closeConn := r.Close || answer.FinalForConnection || c.ctx.Err() != nil ||
-		len(n.clientSlots) == cap(n.clientSlots)
+	closeConn := r.Close || answer.FinalForConnection || !n.hasFreeSlot()
 	if ahead.ended != nil { // The read-ahead goroutine must end before another goroutine reads the connection.
 		c.conn.SetReadDeadline(time.Now())
 		closeConn = !errors.Is(<-ahead.ended, os.ErrDeadlineExceeded) || closeConn
