Count a closing connection with a job on it as busy, not as a slot that is free soon

Callers would see: jobs and callbacks on new connections that wait for as long as long jobs run, while idle connections stay open.

Cause: evictClients counted each connection whose close was asked for as free soon, also when a request had begun on it within the grace of the close. Such a job may run for its whole deadline; callbackSlots of them stopped all eviction.

Change: evictClients first surveys the connections (surveyClients) and counts as free soon only those that are closing and idle, or were evicted before a complete request. A new log line, while no slot is free, has the counts: evicted, closing, busy, new and idle.

Test: TestClosingConnectionsWithAJobAreNotFreeSoon, seen failing on the code before (0 of 4 idle connections evicted).

--- a/internal/node/eviction.go
+++ b/internal/node/eviction.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -41,46 +40,90 @@
 	return r.value.CompareAndSwap(int32(old), int32(updated))
 }
 
-// evictClients closes client connections so that at least callbackSlots client slots become free. It always
-// closes all connections that are older than newConnGrace and never sent a complete request, and all that
-// have been idle for longer than newConnGrace and sent neither an accepted job nor a callback. It closes all
-// of these connections at once, because a thousand more of the kind may be in the listener's queue ahead of
-// clients that have sent an accepted job or a callback. If that does not free enough slots, it closes further
-// idle connections, lowest rank and longest idle first.
-func (n *Node) evictClients() {
-	n.evictionRequested.Store(false)
-	free := cap(n.clientSlots) - len(n.clientSlots)
-	newConns := 0
-	idleSince := map[*client]int64{}
+// clientSurvey says what the client connections are doing when client slots are scarce.
+type clientSurvey struct {
+	// freeSoon is the number of connections that are closing and have no request in progress.
+	freeSoon int
+	// busy is the number of connections with a request in progress. A closing connection may be one of them: its
+	// request can be a job that runs for many seconds.
+	busy int
+	// young is the number of connections that are not older than newConnGrace and never sent a complete request.
+	young int
+	// useless are the connections that are older than newConnGrace and never sent a complete request, and those
+	// that have been idle for longer than newConnGrace and sent neither an accepted job nor a callback.
+	useless []*client
+	idle    []idleClient // idle are all other idle connections that are not closing.
+}
+
+// idleClient is an idle connection with its rank and the start of its idle time, both read only once, because
+// the connection's goroutine changes them.
+type idleClient struct {
+	client *client
+	rank   clientRank
+	since  int64
+}
+
+// surveyClients looks at each client connection once.
+func (n *Node) surveyClients() clientSurvey {
+	var s clientSurvey
+	longBefore := func(t scheduler.Micros) bool { return n.now()-t > newConnGraceMicros }
 	for c := range n.clients {
 		since, rank := c.idleSince.Load(), c.rank.load()
 		switch {
-		case c.ctx.Err() != nil:
-			free++ // The connection is already closing and frees its client slot soon.
-		case rank == rankNew && n.now()-c.acceptedAt > newConnGraceMicros,
-			rank == rankRequester && since != 0 && n.now()-scheduler.Micros(since) > newConnGraceMicros:
-			c.evict()
-			free++
+		case c.closing() && (since != 0 || rank == rankEvicted):
+			s.freeSoon++
+		case c.closing():
+			s.busy++
+		case rank == rankNew && longBefore(c.acceptedAt),
+			rank == rankRequester && since != 0 && longBefore(scheduler.Micros(since)):
+			s.useless = append(s.useless, c)
 		case rank <= rankNew:
-			newConns++
+			s.young++
 		case since != 0:
-			idleSince[c] = since
+			s.idle = append(s.idle, idleClient{c, rank, since})
+		default:
+			s.busy++
 		}
 	}
-	if free >= n.callbackSlots {
-		return
+	return s
+}
+
+// evictClients closes client connections so that at least callbackSlots client slots become free. It always
+// closes all useless connections, and all at once, because a thousand more of the kind may be in the
+// listener's queue ahead of clients that have sent an accepted job or a callback. If that does not free enough
+// slots, it closes further idle connections, lowest rank and longest idle first.
+func (n *Node) evictClients() {
+	n.evictionRequested.Store(false)
+	unused := cap(n.clientSlots) - len(n.clientSlots)
+	s := n.surveyClients()
+	for _, c := range s.useless {
+		c.evict()
+	}
+	evicted := len(s.useless)
+	if missing := n.callbackSlots - unused - s.freeSoon - evicted; missing > 0 {
+		evicted += evictIdle(&s, missing)
 	}
-	candidates := slices.SortedFunc(maps.Keys(idleSince), func(a, b *client) int {
-		return cmp.Or(cmp.Compare(a.rank.load(), b.rank.load()), cmp.Compare(idleSince[a], idleSince[b]))
+	if unused == 0 {
+		n.log.Warn("no client slot is free; closing connections", "evicted", evicted, "closing", s.freeSoon,
+			"busy", s.busy, "new", s.young, "idle", len(s.idle))
+	}
+}
+
+// evictIdle closes at most limit idle connections and returns how many it has closed.
+func evictIdle(s *clientSurvey, limit int) (evicted int) {
+	slices.SortFunc(s.idle, func(a, b idleClient) int {
+		return cmp.Or(cmp.Compare(a.rank, b.rank), cmp.Compare(a.since, b.since))
 	})
-	for _, c := range candidates[:min(len(candidates), n.callbackSlots-free)] {
-		if c.rank.load() == rankEstablished && newConns > 0 {
+	for _, candidate := range s.idle[:min(len(s.idle), limit)] {
+		if candidate.rank == rankEstablished && s.young > 0 {
 			// The new connections can be evicted once newConnGrace has passed. Waiting for that spares established
 			// clients, which have sent an accepted job or a callback.
-			return
+			return evicted
 		}
-		c.evict()
+		candidate.client.evict()
+		evicted++
 	}
+	return evicted
 }
 
 // evict closes a client connection to free the connection's client slot. If the client has never sent a
--- a/internal/node/eviction_test.go
+++ b/internal/node/eviction_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"testing"
 	"time"
@@ -70,24 +71,64 @@
 	}
 }
 
+// newEvictionNode returns a node with 100 client slots, 4 of them for callbacks, whose event loop does not run.
+func newEvictionNode(t *testing.T) *Node {
+	t.Helper()
+	return &Node{start: time.Now().Add(-time.Minute), ctx: t.Context(), clients: map[*client]bool{},
+		clientSlots: make(chan struct{}, 100), callbackSlots: 4, log: slog.New(slog.DiscardHandler)}
+}
+
+// addIdleClient adds an open connection to a node that newEvictionNode has returned. The connection was
+// accepted, and has been idle, for the given time.
+func addIdleClient(t *testing.T, n *Node, rank clientRank, idle time.Duration) *client {
+	t.Helper()
+	ours, theirs := net.Pipe()
+	t.Cleanup(func() { theirs.Close() })
+	c := newClient(n, ours)
+	c.rank.store(rank)
+	c.acceptedAt -= scheduler.Micros(idle.Microseconds())
+	c.idleSince.Store(int64(c.acceptedAt))
+	n.clients[c] = true
+	n.clientSlots <- struct{}{}
+	return c
+}
+
+// Guards against long jobs on closing connections that keep all other idle connections open: a connection on
+// which a job began just before its eviction frees its slot only when the job is answered. If it counts as
+// free soon, nothing else is evicted, and new connections wait for as long as the jobs run.
+func TestClosingConnectionsWithAJobAreNotFreeSoon(t *testing.T) {
+	n := newEvictionNode(t)
+	for range n.callbackSlots {
+		c := addIdleClient(t, n, rankEstablished, time.Second)
+		c.evict()
+		c.idleSince.Store(0) // A request has begun.
+	}
+	idle := map[*client]bool{}
+	for len(n.clients) < cap(n.clientSlots) {
+		idle[addIdleClient(t, n, rankEstablished, time.Second)] = true
+	}
+	n.evictClients()
+	evicted := 0
+	for c := range idle {
+		if c.closing() {
+			evicted++
+		}
+	}
+	if evicted != n.callbackSlots {
+		t.Errorf("%d idle connections were evicted, want %d: the closing ones are busy", evicted, n.callbackSlots)
+	}
+}
+
 // Clients that sent no accepted job and stay connected are evicted all at once. If only a few were evicted at
 // a time, a thousand of them would delay clients in the listener's queue for seconds. Two kinds of clients
 // are not evicted: established clients, which have sent an accepted job or a callback, and clients whose
 // connection is new or idle for less than newConnGrace.
 func TestEvictionFreesAllSlotsAtOnce(t *testing.T) {
-	n := &Node{start: time.Now().Add(-time.Minute), ctx: t.Context(), clients: map[*client]bool{},
-		clientSlots: make(chan struct{}, 100), callbackSlots: 4}
+	n := newEvictionNode(t)
 	ranks := map[clientRank]int{}
 	add := func(rank clientRank, idle time.Duration, count int) {
 		for range count {
-			ours, theirs := net.Pipe()
-			t.Cleanup(func() { theirs.Close() })
-			c := newClient(n, ours)
-			c.rank.store(rank)
-			c.acceptedAt -= scheduler.Micros(idle.Microseconds())
-			c.idleSince.Store(int64(c.acceptedAt))
-			n.clients[c] = true
-			n.clientSlots <- struct{}{}
+			addIdleClient(t, n, rank, idle)
 		}
 	}
 	add(rankRequester, time.Second, 40)
