Reserve request ids from the first attempt on, as digests, in a bounded set

Cause: submit added the id of every request to usedIDs, also of requests refused at once. Ids stay there for 50 to 100 s, and nothing bounded their number or their length (up to 16 KiB each).

Change: startAttempt reserves the id, because the reservation exists for the sake of workers that know it; the id of a request without an attempt is free once it is answered.

Tests, seen failing on the code before: TestRequestsWithoutAnAttemptLeaveNoRecords (100,000 ids left, in 4 of 4 ways), TestUsedIDsAreBounded (196,609 ids).

--- a/internal/modelcheck/mutants/scheduler_mutants.go
+++ b/internal/modelcheck/mutants/scheduler_mutants.go
@@ -6,6 +6,7 @@
 	callbacksFile     = "internal/scheduler/callbacks.go"
 	cancellationsFile = "internal/scheduler/cancellations.go"
 	endpointsFile     = "internal/scheduler/endpoints.go"
+	recentIDsFile     = "internal/scheduler/recent_ids.go"
 	recoveryFile      = "internal/scheduler/recovery.go"
 	requestsFile      = "internal/scheduler/requests.go"
 	shutdownFile      = "internal/scheduler/shutdown.go"
@@ -85,7 +86,7 @@
 		Violates: "runs-as-allowed" +
 			" honest-answers",
 		Patches: []Patch{
-			{File: requestsFile,
+			{File: recentIDsFile,
 				Old: "return class.Deadline + class.DedupWindow",
 				New: "return class.Deadline",
 			},
@@ -99,8 +100,8 @@
 			" attempts-capped" +
 			" honest-answers",
 		Patches: []Patch{
-			{File: requestsFile,
-				Old: "\ts.usedIDs.add(e.RequestID)\n",
+			{File: attemptsFile,
+				Old: "\ts.reserveID(r.id)\n",
 				New: "",
 			},
 		},
--- a/internal/node/disconnect_test.go
+++ b/internal/node/disconnect_test.go
@@ -97,7 +97,7 @@
 	w.node.clientSlots <- struct{}{}
 	c.serve()
 	w.node.onLoop(func() {
-		if n := w.node.sched.Stats().ReservedIDs; n != 0 {
+		if n := w.node.sched.Submitted(); n != 0 {
 			t.Errorf("%d jobs of a disconnected client were submitted, want 0", n)
 		}
 	})
@@ -282,8 +282,8 @@
 		r1 expect POST /batch/7?a=b txn=b1 key=k body=next
 	`)
 	n.onLoop(func() {
-		if k := n.sched.Stats(); k.ReservedIDs != 1 {
-			t.Errorf("%d jobs were submitted, want only the 1 job of the client that stayed connected", k.ReservedIDs)
+		if k := n.sched.Submitted(); k != 1 {
+			t.Errorf("%d jobs were submitted, want only the 1 job of the client that stayed connected", k)
 		}
 	})
 }
--- a/internal/scheduler/attempts.go
+++ b/internal/scheduler/attempts.go
@@ -34,6 +34,7 @@
 	}
 	r.attempts = append(r.attempts, a)
 	s.byAttempt[a.id] = a
+	s.reserveID(r.id)
 	s.addTimer(timer{at: a.deadline, kind: attemptDeadline, id: uint64(a.id)})
 	writeDeadline := s.writeDeadline(a, action.SendBy)
 	if s.hasOpenCancellation(r) {
@@ -46,6 +47,15 @@
 	s.send(a, writeDeadline)
 }
 
+// reserveID keeps the id of a request from being used again after the request. The id of a request that never
+// has an attempt is not reserved: no worker knows it, and bad clients can have thousands of requests refused
+// in a second.
+func (s *Scheduler) reserveID(id string) {
+	if s.usedIDs.add(s.now, id) {
+		s.warn("too many request ids in use; forgetting the oldest early", "kept", s.usedIDs.size())
+	}
+}
+
 // suppressAttempt reports to the dispatcher that a Send action was not carried out. A Send is suppressed if
 // its request is answered or has an attempt that has not ended, or if its request or worker is unknown: a
 // second attempt at the same time could run the job twice. A correct dispatcher never requests such a Send.
--- a/internal/scheduler/clone.go
+++ b/internal/scheduler/clone.go
@@ -7,9 +7,9 @@
 	"dahliaford/internal/dispatch"
 )
 
-// Clone, AppendState, InjectPanic and Stats serve a model checker: they copy a state, encode a state for
-// comparison, make the dispatcher panic, and count the records in a state. The production programs use
-// none of them.
+// Clone, AppendState, InjectPanic, Submitted and Stats serve a model checker and tests: they copy a state,
+// encode a state for comparison, make the dispatcher panic, and count requests and the records in a state.
+// The production programs use none of them.
 
 // Clone returns a copy of the scheduler's state. It must not be called during Step. The copy shares the
 // payloads of requests with the original.
@@ -121,6 +121,9 @@
 	DispatcherJobs               int // jobs that the dispatcher keeps
 }
 
+// Submitted returns the number of requests that the scheduler has accepted since its start.
+func (s *Scheduler) Submitted() int { return int(s.lastJob) }
+
 // Stats counts the records that the scheduler keeps after the last event.
 func (s *Scheduler) Stats() Stats {
 	stats := Stats{
@@ -129,7 +132,7 @@
 		Jobs:          len(s.byJob),
 		Attempts:      len(s.byAttempt),
 		Cancellations: len(s.cancellations),
-		ReservedIDs:   len(s.usedIDs.current) + len(s.usedIDs.previous),
+		ReservedIDs:   s.usedIDs.size(),
 	}
 	if s.dispatcher != nil {
 		stats.DispatcherJobs = s.dispatcher.OpenJobs()
--- a/internal/scheduler/fingerprint.go
+++ b/internal/scheduler/fingerprint.go
@@ -1,6 +1,7 @@
 package scheduler
 
 import (
+	"bytes"
 	"cmp"
 	"maps"
 	"slices"
@@ -57,11 +58,11 @@
 
 func (s *Scheduler) appendUsedIDs(f *fingerprint.Buffer) {
 	f.Ints(int64(s.usedIDs.rotatedAt))
-	for _, set := range []map[string]bool{s.usedIDs.current, s.usedIDs.previous} {
-		ids := slices.Sorted(maps.Keys(set))
-		f.Ints(int64(len(ids)))
-		for _, id := range ids {
-			f.Text(id)
+	for _, set := range []map[idDigest]struct{}{s.usedIDs.current, s.usedIDs.previous} {
+		digests := slices.SortedFunc(maps.Keys(set), func(a, b idDigest) int { return bytes.Compare(a[:], b[:]) })
+		f.Ints(int64(len(digests)))
+		for _, digest := range digests {
+			f.Text(string(digest[:]))
 		}
 	}
 }
--- a/internal/scheduler/requests.go
+++ b/internal/scheduler/requests.go
@@ -54,7 +54,6 @@
 		return
 	}
 	s.lastJob++
-	s.usedIDs.add(e.RequestID)
 	// The deadline that the client requests is limited by the deadline of the job's class, for two reasons: the
 	// dispatcher abandons the job at the deadline of the class, and no record of a request may be kept
 	// indefinitely.
@@ -144,51 +143,3 @@
 	s.answer(r, Answer{Verdict: Failed})
 	s.stepDispatcher(dispatch.Event{Kind: dispatch.ClientDisconnected, Job: r.job})
 }
-
-// idRetention returns how long the id of a request of the class stays reserved after the submission. The
-// last attempt may be sent just before the deadline. For a class with idempotency keys, workers within the
-// deduplication scope drop repetitions of that attempt during the following deduplication window. A new
-// request with the same id could run a second time at a worker outside the scope, so the id stays reserved
-// until the window ends.
-func idRetention(class *dispatch.Class) Micros {
-	if class.Effect == dispatch.Keyed {
-		return class.Deadline + class.DedupWindow
-	}
-	return class.Deadline
-}
-
-// recentIDs is the set of recently used request ids, in two generations. With rotate called regularly, it
-// keeps each id for at least the retention time that is passed to rotate, and for at most twice that time.
-type recentIDs struct {
-	current, previous map[string]bool
-	rotatedAt         Micros
-}
-
-func (r *recentIDs) has(id string) bool { return r.current[id] || r.previous[id] }
-
-// rotate starts a new generation of ids if the current generation is older than the retention time, and drops
-// the ids of the generation before the current one. It drops both generations if the current one is older
-// than twice the retention time.
-func (r *recentIDs) rotate(now, retention Micros) {
-	age := now - r.rotatedAt
-	if age <= retention {
-		return
-	}
-	r.previous, r.current = r.current, nil
-	if age > 2*retention {
-		r.previous = nil
-	}
-	r.rotatedAt = now
-}
-
-func (r *recentIDs) add(id string) {
-	if r.current == nil {
-		r.current = map[string]bool{}
-	}
-	r.current[id] = true
-}
-
-func (r *recentIDs) remove(id string) {
-	delete(r.current, id)
-	delete(r.previous, id)
-}
