Drop timers of ended requests when the heap has doubled

Cause: armTimer drops obsolete timers only from the top of the heap, so the deadline timer of a refused request stays until its time, 5 s for a post-reading and 20 s for a district-batch.

Change: addTimer drops all obsolete timers when their number has doubled since it last did, from 1,024 on; the cost is spread over the timers added meanwhile.

Tests: TestRequestsWithoutAnAttemptLeaveNoRecords now bounds the timers as well (seen failing before: 99,999 and 100,000 timers, 2 of 4 ways); TestOpenRequestKeepsItsTimersInAFlood guards the timers that are still needed.

--- a/internal/scheduler/refused_test.go
+++ b/internal/scheduler/refused_test.go
@@ -37,8 +37,8 @@
 }
 
 // Guards against a scheduler that exceeds its memory limit because bad clients have thousands of requests a
-// second refused: nothing of a request may be kept once it has ended without an attempt. The id once was kept
-// until its deduplication window had ended.
+// second refused: nothing of a request may be kept once it has ended without an attempt. The records that once
+// were kept are its id, until its deduplication window had ended, and the timer of its deadline.
 func TestRequestsWithoutAnAttemptLeaveNoRecords(t *testing.T) {
 	for _, class := range []string{"post", "batch"} {
 		for name, way := range endsWithoutAttempt {
@@ -50,14 +50,36 @@
 				if n := w.scheduler.Submitted(); n != floodSize {
 					t.Fatalf("%d requests were submitted, want %d", n, floodSize)
 				}
-				if got.ReservedIDs != 0 || got.Callers != 0 || got.IDs != 0 || got.Jobs != 0 || got.DispatcherJobs != 0 {
-					t.Errorf("%d requests that ended without an attempt left %+v, want only timers", floodSize, got)
+				if got.ReservedIDs != 0 || got.Timers > minTimerSweep || got.Callers != 0 || got.IDs != 0 ||
+					got.Jobs != 0 || got.DispatcherJobs != 0 {
+					t.Errorf("%d requests that ended without an attempt left %+v, want at most %d timers and nothing else",
+						floodSize, got, minTimerSweep)
+				}
+				if all := len(w.scheduler.timers); all > 2*minTimerSweep {
+					t.Errorf("there are %d timers with those of the dispatcher, want at most %d", all, 2*minTimerSweep)
 				}
 			})
 		}
 	}
 }
 
+// Guards against the loss of timers that are still needed when obsolete ones are dropped: a request that is
+// open during a flood of refused ones is still answered at its deadline, and its attempt cancelled.
+func TestOpenRequestKeepsItsTimersInAFlood(t *testing.T) {
+	w := newHarness(t)
+	w.runScript(t, `
+		discovery send
+		c1 send open batch sahel 20s
+		r1 expect open payload written in 250ms done in 19.996s
+		r1 send accepted open
+		r1 send started open`)
+	flood(w, "post", 0, func(CallerID) {})
+	w.runScript(t, `
+		wait 15500ms
+		r1 expect cancel open
+		c1 expect failed`)
+}
+
 // Guards against clients that fill the scheduler's memory with long ids, or with more ids than any fleet uses:
 // the set of used ids has a bound that depends on neither, and always has the latest ids.
 func TestUsedIDsAreBounded(t *testing.T) {
--- a/internal/scheduler/scheduler.go
+++ b/internal/scheduler/scheduler.go
@@ -49,6 +49,7 @@
 	watchOpen      bool            // discovery has answered the watch request and has not closed the watch
 
 	timers     timerHeap
+	timersKept int    // the number of timers that were left when addTimer last dropped obsolete ones
 	timerAt    Micros // the time of the last SetTimer; 0: no timer is set
 	refuseFrom Micros // the time at which new requests begin to be refused; 0: no shutdown has been requested
 	answerBy   Micros // during a shutdown: the time at which all requests still open are answered
--- a/internal/scheduler/timers.go
+++ b/internal/scheduler/timers.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 
 	"dahliaford/internal/dispatch"
 )
@@ -48,7 +49,19 @@
 	return x
 }
 
-func (s *Scheduler) addTimer(t timer) { heap.Push(&s.timers, t) }
+// minTimerSweep is the least number of timers at which addTimer drops the obsolete ones.
+const minTimerSweep = 1024
+
+// addTimer adds a timer. Most timers become obsolete long before their time, so addTimer drops all obsolete
+// ones when the number of timers has doubled since the last time it did so.
+func (s *Scheduler) addTimer(t timer) {
+	if len(s.timers) >= max(minTimerSweep, 2*s.timersKept) {
+		s.timers = slices.DeleteFunc(s.timers, s.obsolete)
+		heap.Init(&s.timers)
+		s.timersKept = len(s.timers)
+	}
+	heap.Push(&s.timers, t)
+}
 
 // fireTimers fires all timers whose time has come.
 func (s *Scheduler) fireTimers() {
