Release the payload of a request when it is answered

Callers would see a scheduler over its memory limit: clients that send jobs with large bodies and leave, while their workers do not acknowledge the cancellations. Seen on the reducer alone, not with real processes.

Cause: an open cancellation keeps its attempt, the request and its payload (up to 64 KiB of body) for 15 s; where cancelling is not allowed the live attempt keeps it until its deadline. No further attempt of an answered request is ever sent.

Change: complete drops the reference to the payload.

Test: TestRequestOfADisconnectedClientKeepsNoPayload, seen failing on the code before, with and without permission to cancel.

--- a/internal/scheduler/refused_test.go
+++ b/internal/scheduler/refused_test.go
@@ -80,6 +80,30 @@
 		c1 expect failed`)
 }
 
+// Guards against clients that send large jobs and leave, while their workers do not acknowledge: what a worker
+// may still hold is recorded until its cancellation or its attempt ends, but without the body of the request.
+func TestRequestOfADisconnectedClientKeepsNoPayload(t *testing.T) {
+	for _, cancelAllowed := range []bool{true, false} {
+		t.Run(fmt.Sprint("cancel allowed ", cancelAllowed), func(t *testing.T) {
+			set := parseSettings(t, testSettings)
+			set.Dispatch.CancelAllowed = cancelAllowed
+			w := newHarnessWithSettings(t, set)
+			w.runScript(t, `
+				c1 send a1 batch sahel 20s
+				r1 expect a1 payload written in 250ms done in 19.996s
+				r1 send accepted a1`)
+			a := w.scheduler.byAttempt[w.latestAttempt["a1"]]
+			w.step(ClientDisconnected{Caller: a.request.caller})
+			if open := w.scheduler.cancellations[a.id] != nil; open != cancelAllowed || a.ended != cancelAllowed {
+				t.Fatalf("the attempt has ended %v, its cancellation is open %v; want %v", a.ended, open, cancelAllowed)
+			}
+			if a.request.payload != nil {
+				t.Errorf("the request of a disconnected client keeps its payload %v, want none", a.request.payload)
+			}
+		})
+	}
+}
+
 // Guards against clients that fill the scheduler's memory with long ids, or with more ids than any fleet uses:
 // the set of used ids has a bound that depends on neither, and always has the latest ids.
 func TestUsedIDsAreBounded(t *testing.T) {
--- a/internal/scheduler/requests.go
+++ b/internal/scheduler/requests.go
@@ -14,7 +14,7 @@
 	id       string
 	job      dispatch.JobID
 	deadline Micros
-	payload  any
+	payload  any // the payload of the next attempt; nil once the request has been answered
 	answered bool
 	attempts []*attempt // all attempts, the oldest first; only the last may be live
 }
@@ -112,9 +112,10 @@
 }
 
 // complete marks a request as answered. The request stays in the index by id while it has a live attempt, so
-// that callbacks of the attempt are matched to the request.
+// that callbacks of the attempt are matched to the request. The payload is released, because no further attempt
+// is sent, and a request with an open cancellation stays in memory for many seconds.
 func (s *Scheduler) complete(r *request) {
-	r.answered = true
+	r.answered, r.payload = true, nil
 	delete(s.byCaller, r.caller)
 	if !r.hasLiveAttempt() {
 		s.removeRequest(r)
