--- a/internal/node/eviction.go
+++ b/internal/node/eviction.go
@@ -49,10 +49,10 @@
 	busy int
 	// young is the number of connections that are not older than newConnGrace and never sent a complete request.
 	young int
-	// useless are the connections that are older than newConnGrace and never sent a complete request, and those
+	// expendable are the connections that are older than newConnGrace and never sent a complete request, and those
 	// that have been idle for longer than newConnGrace and sent neither an accepted job nor a callback.
-	useless []*client
-	idle    []idleClient // idle are all other idle connections that are not closing.
+	expendable []*client
+	idle       []idleClient // idle are all other idle connections that are not closing.
 }
 
 // idleClient is an idle connection with its rank and the start of its idle time, both read only once, because
@@ -76,7 +76,7 @@
 			s.busy++
 		case rank == rankNew && longBefore(c.acceptedAt),
 			rank == rankRequester && since != 0 && longBefore(scheduler.Micros(since)):
-			s.useless = append(s.useless, c)
+			s.expendable = append(s.expendable, c)
 		case rank <= rankNew:
 			s.young++
 		case since != 0:
@@ -89,17 +89,17 @@
 }
 
 // evictClients closes client connections so that at least callbackSlots client slots become free. It always
-// closes all useless connections, and all at once, because a thousand more of the kind may be in the
+// closes all expendable connections, and all at once, because a thousand more of the kind may be in the
 // listener's queue ahead of clients that have sent an accepted job or a callback. If that does not free enough
 // slots, it closes further idle connections, lowest rank and longest idle first.
 func (n *Node) evictClients() {
 	n.evictionRequested.Store(false)
 	unused := cap(n.clientSlots) - len(n.clientSlots)
 	s := n.surveyClients()
-	for _, c := range s.useless {
+	for _, c := range s.expendable {
 		c.evict()
 	}
-	evicted := len(s.useless)
+	evicted := len(s.expendable)
 	if missing := n.callbackSlots - unused - s.freeSoon - evicted; missing > 0 {
 		evicted += evictIdle(&s, missing)
 	}
