--- a/internal/node/client_test.go
+++ b/internal/node/client_test.go
@@ -161,9 +161,7 @@
 	w := newHarness(t, 0, "r1")
 	ours, theirs := loopbackPair(t)
 	conn := &lateConn{ours, make(chan struct{}), make(chan struct{})}
-	w.node.clientSlots <- struct{}{}
-	w.node.serving.Add(1)
-	c := newClient(w.node, conn)
+	c := acceptedClient(w.node, conn)
 	go c.serve()
 	c.closeWhenIdle()
 	<-conn.timedOut
--- a/internal/node/disconnect_test.go
+++ b/internal/node/disconnect_test.go
@@ -397,9 +397,7 @@
 		n.onLoop(func() { n.invalidateList(t) }) // Without a valid worker list the node sends no attempts.
 		ours, theirs := loopbackPair(t)
 		h := &pausingConn{Conn: ours, paused: make(chan struct{}), resume: make(chan struct{})}
-		n.clientSlots <- struct{}{}
-		n.serving.Add(1)
-		go newClient(n, h).serve()
+		go acceptedClient(n, h).serve()
 		const job = "POST /batch/7 HTTP/1.1\r\nX-Txn: a1\r\nX-Lane: batch\r\nX-Org: sahel\r\n" +
 			"X-Remaining-Ms: 30000\r\nContent-Length: 0\r\n\r\n"
 		write(t, theirs, job)
--- a/internal/node/harness_test.go
+++ b/internal/node/harness_test.go
@@ -309,13 +309,18 @@
 	return ours, theirs
 }
 
-// pipedClient returns a client connection as the acceptor creates it, over a pipe, and the pipe's other end.
-// The caller has to start the connection's goroutine.
-func pipedClient(n *Node) (*client, net.Conn) {
-	ours, theirs := net.Pipe()
+// acceptedClient returns a client connection as the acceptor creates it. The caller has to start the
+// connection's goroutine.
+func acceptedClient(n *Node, conn net.Conn) *client {
 	n.clientSlots <- struct{}{}
 	n.serving.Add(1)
-	return newClient(n, ours), theirs
+	return newClient(n, conn)
+}
+
+// pipedClient returns an accepted client connection over a pipe, and the pipe's other end.
+func pipedClient(n *Node) (*client, net.Conn) {
+	ours, theirs := net.Pipe()
+	return acceptedClient(n, ours), theirs
 }
 
 // listenLoopback opens a listener on loopback, which is closed at the end of the test.
