--- a/internal/node/eviction.go
+++ b/internal/node/eviction.go
@@ -49,8 +49,8 @@
 	busy int
 	// young is the number of connections that are not older than newConnGrace and never sent a complete request.
 	young int
-	// expendable are the connections that are older than newConnGrace and never sent a complete request, and those
-	// that have been idle for longer than newConnGrace and sent neither an accepted job nor a callback.
+	// expendable are the connections that are older than newConnGrace and never sent a complete request, and
+	// those that have been idle for longer than newConnGrace and sent neither an accepted job nor a callback.
 	expendable []*client
 	idle       []idleClient // idle are all other idle connections that are not closing.
 }
@@ -90,8 +90,8 @@
 
 // evictClients closes client connections so that at least callbackSlots client slots become free. It always
 // closes all expendable connections, and all at once, because a thousand more of the kind may be in the
-// listener's queue ahead of clients that have sent an accepted job or a callback. If that does not free enough
-// slots, it closes further idle connections, lowest rank and longest idle first.
+// listener's queue ahead of clients that have sent an accepted job or a callback. If that does not free
+// enough slots, it closes further idle connections, lowest rank and longest idle first.
 func (n *Node) evictClients() {
 	n.evictionRequested.Store(false)
 	unused := cap(n.clientSlots) - len(n.clientSlots)
--- a/internal/node/eviction_test.go
+++ b/internal/node/eviction_test.go
@@ -71,7 +71,8 @@
 	}
 }
 
-// newEvictionNode returns a node with 100 client slots, 4 of them for callbacks, whose event loop does not run.
+// newEvictionNode returns a node with 100 client slots, 4 of them for callbacks, whose event loop does not
+// run.
 func newEvictionNode(t *testing.T) *Node {
 	t.Helper()
 	return &Node{start: time.Now().Add(-time.Minute), ctx: t.Context(), clients: map[*client]bool{},
--- a/internal/node/request.go
+++ b/internal/node/request.go
@@ -76,8 +76,8 @@
 	}
 }
 
-// rejectRequest responds to an invalid request. It reports whether the connection stays open: not if no client
-// slot is free, because other clients wait for the slot.
+// rejectRequest responds to an invalid request. It reports whether the connection stays open: not if no
+// client slot is free, because other clients wait for the slot.
 func (c *client) rejectRequest(receivedAt scheduler.Micros, r *http1.Request, status int, why string) bool {
 	from, id := c.conn.RemoteAddr().String(), r.Header.Get("X-Txn")
 	c.node.log.Warn("bad request", "from", from, "txn", id, "why", why)
--- a/internal/scheduler/recent_ids.go
+++ b/internal/scheduler/recent_ids.go
@@ -10,8 +10,8 @@
 const maxGenerationIDs = 1 << 16
 
 // idRetention returns how long the id of a request of the class stays reserved after its first attempt began.
-// The last attempt may be sent just before the deadline. For a class with idempotency keys, workers within the
-// deduplication scope drop repetitions of that attempt during the following deduplication window. A new
+// The last attempt may be sent just before the deadline. For a class with idempotency keys, workers within
+// the deduplication scope drop repetitions of that attempt during the following deduplication window. A new
 // request with the same id could run a second time at a worker outside the scope, so the id stays reserved
 // until the window ends.
 func idRetention(class *dispatch.Class) Micros {
--- a/internal/scheduler/refused_test.go
+++ b/internal/scheduler/refused_test.go
@@ -37,8 +37,8 @@
 }
 
 // Guards against a scheduler that exceeds its memory limit because bad clients have thousands of requests a
-// second refused: nothing of a request may be kept once it has ended without an attempt. The records that once
-// were kept are its id, until its deduplication window had ended, and the timer of its deadline.
+// second refused: nothing of a request may be kept once it has ended without an attempt. The records that
+// once were kept are its id, until its deduplication window had ended, and the timer of its deadline.
 func TestRequestsWithoutAnAttemptLeaveNoRecords(t *testing.T) {
 	for _, class := range []string{"post", "batch"} {
 		for name, way := range endsWithoutAttempt {
@@ -80,8 +80,9 @@
 		c1 expect failed`)
 }
 
-// Guards against clients that send large jobs and leave, while their workers do not acknowledge: what a worker
-// may still hold is recorded until its cancellation or its attempt ends, but without the body of the request.
+// Guards against clients that send large jobs and leave, while their workers do not acknowledge: what a
+// worker may still hold is recorded until its cancellation or its attempt ends, but without the body of the
+// request.
 func TestRequestOfADisconnectedClientKeepsNoPayload(t *testing.T) {
 	for _, cancelAllowed := range []bool{true, false} {
 		t.Run(fmt.Sprint("cancel allowed ", cancelAllowed), func(t *testing.T) {
@@ -104,8 +105,8 @@
 	}
 }
 
-// Guards against clients that fill the scheduler's memory with long ids, or with more ids than any fleet uses:
-// the set of used ids has a bound that depends on neither, and always has the latest ids.
+// Guards against clients that fill the scheduler's memory with long ids, or with more ids than any fleet
+// uses: the set of used ids has a bound that depends on neither, and always has the latest ids.
 func TestUsedIDsAreBounded(t *testing.T) {
 	longID := strings.Repeat("x", 16<<10)
 	var ids recentIDs
--- a/internal/scheduler/requests.go
+++ b/internal/scheduler/requests.go
@@ -112,8 +112,8 @@
 }
 
 // complete marks a request as answered. The request stays in the index by id while it has a live attempt, so
-// that callbacks of the attempt are matched to the request. The payload is released, because no further attempt
-// is sent, and a request with an open cancellation stays in memory for many seconds.
+// that callbacks of the attempt are matched to the request. The payload is released, because no further
+// attempt is sent, and a request with an open cancellation stays in memory for many seconds.
 func (s *Scheduler) complete(r *request) {
 	r.answered, r.payload = true, nil
 	delete(s.byCaller, r.caller)
