--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,5 +3,5 @@
 # the deploy file.
 set -e
 cd "$(dirname "$0")/.."
-mkdir -p bin
-go build -o bin/standin2 ./review/standin2
+mkdir -p review/bin
+go build -o review/bin/standin2 ./review/standin2
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -7,7 +7,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -41,12 +43,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return exitNotRun
 	}
-	// A script may run for 120 s at most.
-	time.AfterFunc(110*time.Second, func() {
-		t.note("not run: out of time")
-		t.close()
-		os.Exit(exitNotRun)
-	})
+	go endEarly(t)
 	err = run(t)
 	t.close()
 	switch {
@@ -60,3 +57,17 @@
 	t.note("verdict: held")
 	return exitHeld
 }
+
+// endEarly ends a trial that takes too long, as a script may run for 120 s at most, or that is interrupted.
+func endEarly(t *trial) {
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	select {
+	case s := <-interrupted:
+		t.note("not run: %v", s)
+	case <-time.After(110 * time.Second):
+		t.note("not run: out of time")
+	}
+	t.close()
+	os.Exit(exitNotRun)
+}
