Review case 10: a crowd of silent clients in place of stopped ones

Ten clients behind 950 silent ones wait 0.5 s in the listener's queue; the time is not counted, so workers are told 0.5 s more than the clients have, and answers come after the clients' time. This breaks the terms in force ('the deadline passed to a server is at most what the client has left, with 0.15 s of slack').

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,5 +3,5 @@
 # broken, 0 if it held, and 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/../.." || exit 2
-[ -x bin/standin2 ] || exit 2
-exec bin/standin2 queue "$folder"
+[ -x bin/dahliaford ] && [ -x review/bin/standin2 ] || exit 2
+exec review/bin/standin2 queue "$folder"
--- a/review/standin2/queue.go
+++ b/review/standin2/queue.go
@@ -1,6 +1,8 @@
 package main
 
 import (
+	"io"
+	"net"
 	"sync"
 	"time"
 )
@@ -10,10 +12,18 @@
 // toldSlack is by how much the time that a worker is told may exceed what is left to the client.
 const toldSlack = 150 * time.Millisecond
 
-// runQueue lets bad clients stop in the middle of a request and stay, until the scheduler gives them up.
-// Good clients connect meanwhile, and wait in the queue of the scheduler's listener.
+// silentClients is the number of clients that connect and say nothing.
+const silentClients = 950
+
+// shortDeadline is the deadline of the class post-reading in this case.
+const shortDeadline = 2 * time.Second
+
+// runQueue lets hundreds of clients connect and say nothing. Good clients connect right behind them, and wait
+// in the queue of the scheduler's listener.
 func runQueue(t *trial) error {
-	s, err := t.newScheduler("n1", settings(), limits(64, 256))
+	set := settings()
+	set["grades"].([]map[string]any)[0]["deadline"] = shortDeadline.Microseconds()
+	s, err := t.newScheduler("n1", set, limits(64, 256))
 	if err != nil {
 		return err
 	}
@@ -28,16 +38,13 @@
 	if err := s.run(d.addr(), nil); err != nil {
 		return err
 	}
+	t.connectSilently(s.addr)
 	var group sync.WaitGroup
-	for range 200 {
-		group.Go(func() { t.stoppingClient(s.addr) })
-	}
-	time.Sleep(1500 * time.Millisecond)
 	var mu sync.Mutex
 	sent := map[string]*request{}
 	for range 10 {
 		group.Go(func() {
-			q := newRequest(5*time.Second, 2500)
+			q := newRequest(shortDeadline, 2500)
 			mu.Lock()
 			sent[q.id] = q
 			mu.Unlock()
@@ -51,6 +58,30 @@
 	return nil
 }
 
+// connectSilently opens the connections of the silent clients, which stay until the scheduler closes them.
+// Without the disruption they leave at once.
+func (t *trial) connectSilently(addr string) {
+	began := time.Now()
+	opened := 0
+	for range silentClients {
+		conn, err := net.Dial("tcp", addr)
+		if err != nil {
+			continue
+		}
+		opened++
+		if !t.trouble {
+			conn.Close()
+			continue
+		}
+		go func() {
+			defer conn.Close()
+			conn.SetDeadline(time.Now().Add(30 * time.Second))
+			_, _ = io.Copy(io.Discard, conn)
+		}()
+	}
+	t.note("%d silent clients have connected within %.3f s", opened, time.Since(began).Seconds())
+}
+
 // judgeTold checks that no attempt told its worker more time than was left to the client.
 func (t *trial) judgeTold(w *worker, sent map[string]*request) {
 	for _, a := range w.received() {
