--- a/review/standin2/trial.go
+++ b/review/standin2/trial.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -168,14 +169,23 @@
 	return os.Rename(s.path()+".part", s.path())
 }
 
+// The ports of schedulers are below those that systems give to outgoing connections, so that none of these
+// takes a port before its scheduler does.
+const (
+	firstPort = 18000
+	portCount = 12000
+)
+
 // freeAddr returns a loopback address that nobody listens on.
-func freeAddr() (string, error) {
-	l, err := net.Listen("tcp", anyAddr)
-	if err != nil {
-		return "", err
+func freeAddr() (addr string, err error) {
+	for range 100 {
+		l, listenErr := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(portCount)))
+		if err = listenErr; err == nil {
+			addr = l.Addr().String()
+			return addr, l.Close()
+		}
 	}
-	defer l.Close()
-	return l.Addr().String(), nil
+	return "", err
 }
 
 // newScheduler prepares a scheduler of the given configuration. Its address is set, but it does not run yet.
