Client: write no job whose caller cancelled while it got its connection

What callers saw: nothing by itself; a scheduler got the job of a caller that had cancelled, and could start an attempt for a client that had gone.

--- a/client/attempt.go
+++ b/client/attempt.go
@@ -78,9 +78,12 @@
 
 // checkWriteAllowed is the last check before the request of an attempt is written. The attempt may have waited
 // for its connection since the plan allowed it, so checkWriteAllowed looks again at everything that ends with
-// time: the write deadline, and the deadline of the context in whole milliseconds, which
+// time: the caller's context, the write deadline, and the deadline of the context in whole milliseconds, which
 // is what the request states.
 func checkWriteAllowed(ctx context.Context, now, writeDeadline time.Time) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
 	if !now.Before(writeDeadline) {
 		return errWriteDeadline
 	}
--- a/client/write_deadline_test.go
+++ b/client/write_deadline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"strings"
 	"syscall"
@@ -127,6 +128,24 @@
 	}
 }
 
+// A job whose caller cancels while it gets its connection must not be written: the scheduler would start an
+// attempt for a client that has gone.
+func TestCancelledJobIsNotWritten(t *testing.T) {
+	pair := newRequestPair(t, func(int, int) {})
+	ctx, cancel := context.WithCancel(t.Context())
+	observer := connectObserver{onConnect: func(string) { cancel() }}
+	client := windowClient(t, time.Second, 0, observer, pair[0].Addr().String(), pair[1].Addr().String())
+	_, err := client.Do(ctx, keyedJob)
+	if Verdict(err) != "refused" || !errors.Is(err, context.Canceled) {
+		t.Errorf("cancelled during the dial: got error %v, want verdict refused with the cancellation", err)
+	}
+	// A request that was written is received soon after.
+	time.Sleep(200 * time.Millisecond)
+	if got := received(pair); got != 0 {
+		t.Errorf("cancelled during the dial: got %d requests, want 0", got)
+	}
+}
+
 // A repeat whose last byte cannot be written before the end of the deduplication window must stay incomplete:
 // a scheduler that reads it later must not get a whole request.
 func TestRepeatIsNotCompletedAfterItsWindow(t *testing.T) {
