Let the drill of the client library judge when its clients write repeats

It has a fifth group now, clients with one connection to each scheduler whose class may be repeated within 300 ms. testcluster.WriteRecorder stands before each scheduler and notes when a keyed request has been read completely; the drill fails if that is over 50 ms after the window, counted from the first run that a worker reported.

--- a/cmd/schedbench/clientreport.go
+++ b/cmd/schedbench/clientreport.go
@@ -13,7 +13,7 @@
 func (r *clientRuns) report() *report {
 	rep := &report{ok: true, figures: map[string]any{}, chart: r.chart,
 		table: [][]string{{"kind", "jobs", "served", "late", "tries a job", "new connections", "peak in 100 ms",
-			"post-readings twice", "keys in two racks", "latest return"}}}
+			"post-readings twice", "keys in two racks", "late repeats", "latest return"}}}
 	for _, run := range r.all() {
 		rep.table = append(rep.table, run.row())
 		rep.figures[run.name] = run.figures()
@@ -23,7 +23,7 @@
 			rep.figures["alien_jobs"] = n
 		}
 	}
-	for _, run := range []*clientRun{r.library, r.faults} {
+	for _, run := range []*clientRun{r.library, r.faults, r.connections} {
 		rep.ok = rep.ok && run.meetsGuarantees()
 	}
 	best := slices.MaxFunc([]*clientRun{r.immediate, r.backoff}, func(a, b *clientRun) int {
@@ -44,6 +44,7 @@
 		fmt.Sprintf("%.1f%%", 100*float64(r.servedLate)/float64(max(served, 1))),
 		fmt.Sprintf("%.3f", r.attemptsPerJob()), fmt.Sprint(r.dials.total()), fmt.Sprint(r.dials.peak()),
 		fmt.Sprint(counts.Duplicates), fmt.Sprint(counts.CrossCell),
+		fmt.Sprint(r.lateRepeats()),
 		fmt.Sprint(r.maxDeadlineOverrun.Round(time.Millisecond))}
 }
 
@@ -54,15 +55,19 @@
 		"tries_a_job": r.attemptsPerJob(), "connections": r.dials.total(),
 		"peak_connections_100ms": r.dials.peak(), "runs": counts.Total,
 		"post_readings_twice": counts.Duplicates, "keys_in_two_racks": counts.CrossCell,
+		"late_repeats":     r.lateRepeats(),
 		"latest_return_ms": r.maxDeadlineOverrun.Milliseconds(), "served_in_time": r.served.total(),
 		"connections_by_s": r.dials.perSecond(), "served_by_s": r.served.perSecond()}
 }
 
 // meetsGuarantees reports whether the client library kept its guarantees in the run: no job ran more often
-// than its effect class allows, and each job returned by its deadline, within returnGrace.
+// than its effect class allows, no job was repeated after its window, and each job returned by its deadline,
+// within returnGrace. Runs that record when their clients write may repeat jobs in any cell.
 func (r *clientRun) meetsGuarantees() bool {
 	counts := r.fleet.RunCounts()
-	return counts.Duplicates == 0 && counts.CrossCell == 0 && r.returned == r.jobs &&
+	mayCrossCells := r.recorders != nil
+	return counts.Duplicates == 0 && (counts.CrossCell == 0 || mayCrossCells) &&
+		r.lateRepeats() == 0 && r.returned == r.jobs &&
 		r.maxDeadlineOverrun <= returnGrace
 }
 
--- a/cmd/schedbench/clientrun.go
+++ b/cmd/schedbench/clientrun.go
@@ -23,6 +23,34 @@
 var clientClasses = []clientClass{{"post-reading", time.Second, 2 * time.Second, client.Once},
 	{"district-batch", 2 * time.Second, 4 * time.Second, client.Rack}}
 
+// repeatableClasses are the classes of the clients that may repeat jobs at any scheduler, within repeatWindow.
+var repeatableClasses = []clientClass{
+	{"district-batch", 2 * time.Second, 4 * time.Second, client.Anywhere},
+}
+
+// clientLoad describes the clients of a run. All runs submit the same number of jobs per second.
+type clientLoad struct {
+	clients       int
+	jobsPerClient float64 // jobs per second that each client submits
+	connections   int     // limit of a client's connections to each scheduler; 0 means the library's default
+	classes       []clientClass
+}
+
+var (
+	// manyClients rarely wait for a connection.
+	manyClients = clientLoad{clients: clientCount, jobsPerClient: jobsPerClient, classes: clientClasses}
+	// fewConnections wait for their connections when schedulers stop, longer than repeatWindow.
+	fewConnections = clientLoad{clients: clientCount / 10, jobsPerClient: 10 * jobsPerClient, connections: 1,
+		classes: repeatableClasses}
+)
+
+const (
+	// repeatWindow is the deduplication window of repeatableClasses.
+	repeatWindow = 300 * time.Millisecond
+	// windowSlack is what the protocol adds to each time limit on sockets.
+	windowSlack = 50 * time.Millisecond
+)
+
 // The verdicts of jobs of plain clients, which do not use the client library. Clients of the library report
 // all verdicts of client.Verdict.
 const (
@@ -34,7 +62,10 @@
 // jobs.
 type clientRun struct {
 	name  string
+	load  clientLoad
 	fleet *testcluster.Fleet
+	// recorders stand before the schedulers of the fleet if the run judges when its clients write repeats.
+	recorders []*testcluster.WriteRecorder
 	// submit submits a job through the client with the given index. It returns the verdict of the job.
 	submit       func(client int, s fakes.Submission) (verdict string)
 	closeClients func()
@@ -53,13 +84,16 @@
 
 // newClientRun returns a run with a fleet and no clients. The timelines of its results cover the given length
 // of time.
-func newClientRun(name string, fleet *testcluster.Fleet, length time.Duration) *clientRun {
-	return &clientRun{name: name, fleet: fleet, closeClients: func() {}, dials: newTimeline(length),
+func newClientRun(name string, load clientLoad, fleet *testcluster.Fleet, length time.Duration) *clientRun {
+	return &clientRun{name: name, load: load, fleet: fleet, closeClients: func() {}, dials: newTimeline(length),
 		served: newTimeline(length), verdicts: map[string]int{}}
 }
 
 func (r *clientRun) close() {
 	r.closeClients()
+	for _, recorder := range r.recorders {
+		recorder.Close()
+	}
 	r.fleet.Close()
 }
 
@@ -83,16 +117,46 @@
 // Throttled does nothing. A job that gets no retry because the retry budget is used up shows in the verdicts.
 func (r *clientRun) Throttled() {}
 
-// useLibrary makes the run submit its jobs through clients of the library.
-func (r *clientRun) useLibrary(seed uint64) error {
+// recordWrites makes the run record when its clients write their jobs. It returns the addresses that the
+// clients have to use for the schedulers of the fleet.
+func (r *clientRun) recordWrites() (addrs []string, err error) {
+	for _, scheduler := range r.fleet.Schedulers() {
+		recorder, err := testcluster.NewWriteRecorder(scheduler)
+		if err != nil {
+			return nil, err
+		}
+		r.recorders = append(r.recorders, recorder)
+		addrs = append(addrs, recorder.Addr())
+	}
+	return addrs, nil
+}
+
+// lateRepeats returns the number of requests that clients wrote after the deduplication window of their job:
+// more than repeatWindow after the job may first have run, and thus after it was first sent.
+func (r *clientRun) lateRepeats() int {
+	late := 0
+	for _, recorder := range r.recorders {
+		for _, write := range recorder.Writes() {
+			firstRun, ran := r.fleet.FirstRun(write.Key)
+			if ran && write.At.Sub(firstRun) > repeatWindow+windowSlack {
+				late++
+			}
+		}
+	}
+	return late
+}
+
+// useLibrary makes the run submit its jobs through clients of the library, to the schedulers at the given
+// addresses.
+func (r *clientRun) useLibrary(schedulers []string, seed uint64) error {
 	classes := map[string]client.Class{}
-	for _, c := range clientClasses {
-		classes[c.name] = client.Class{Deadline: c.deadline, Effect: c.effect}
+	for _, c := range r.load.classes {
+		classes[c.name] = client.Class{Deadline: c.deadline, Effect: c.effect, Window: repeatWindow}
 	}
 	var clients []*client.Client
-	for i := range clientCount {
-		c, err := client.New(client.Config{Schedulers: r.fleet.Schedulers(), Tenant: "sahel", Classes: classes,
-			Seed: seed<<16 + uint64(i) + 1, Observer: r})
+	for i := range r.load.clients {
+		c, err := client.New(client.Config{Schedulers: schedulers, Tenant: "sahel", Classes: classes,
+			MaxConnections: r.load.connections, Seed: seed<<16 + uint64(i) + 1, Observer: r})
 		if err != nil {
 			return err
 		}
@@ -115,7 +179,7 @@
 // backoff is the longest wait before the first retry; with 0 the clients retry at once.
 func (r *clientRun) useRetryingClients(backoff time.Duration) {
 	var clients []*fakes.RetryingClient
-	for range clientCount {
+	for range r.load.clients {
 		clients = append(clients, fakes.NewRetryingClient(r.fleet.Schedulers(), backoff, r.dials.add))
 	}
 	r.submit = func(i int, s fakes.Submission) string {
@@ -136,14 +200,14 @@
 // submitJobs makes all clients submit jobs until the context ends. It returns when all jobs have returned.
 func (r *clientRun) submitJobs(ctx context.Context, seed uint64) {
 	var all sync.WaitGroup
-	for i := range clientCount {
+	for i := range r.load.clients {
 		all.Go(func() { r.submitJobsOf(ctx, i, rand.New(rand.NewPCG(seed, uint64(i)))) })
 	}
 	all.Wait()
 }
 
 // submitJobsOf makes the client with index i submit jobs until the context ends. The intervals between jobs
-// are exponentially distributed, with jobsPerClient jobs per second on average.
+// are exponentially distributed, with load.jobsPerClient jobs per second on average.
 func (r *clientRun) submitJobsOf(ctx context.Context, i int, random *rand.Rand) {
 	var open sync.WaitGroup
 	defer open.Wait()
@@ -151,14 +215,14 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(time.Duration(random.ExpFloat64() / jobsPerClient * float64(time.Second))):
+		case <-time.After(time.Duration(random.ExpFloat64() / r.load.jobsPerClient * float64(time.Second))):
 		}
-		class := clientClasses[random.IntN(len(clientClasses))]
+		class := r.load.classes[random.IntN(len(r.load.classes))]
 		id := fmt.Sprintf("%d-%d", i, n)
 		name := r.fleet.JobPrefix() + id
 		s := fakes.Submission{ID: id, Class: class.name, Tenant: "sahel", Body: []byte(name),
 			Deadline: time.Now().Add(class.deadline)}
-		if class.effect == client.Rack {
+		if class.effect != client.Once {
 			s.Key = name
 		}
 		open.Go(func() { r.submitOne(i, class, s) })
--- a/cmd/schedbench/clients.go
+++ b/cmd/schedbench/clients.go
@@ -12,11 +12,12 @@
 	"dahliaford/internal/testcluster"
 )
 
-// The desk drill runs four groups of 200 clients at the same time: clients of the library, plain clients that
-// retry at once, plain clients that retry with a backoff, and clients of the library whose workers inject
-// faults. Each group has its own fleet of six schedulers, of which four stop and restart during the drill.
+// The desk drill runs five groups of clients at the same time: clients of the library, plain clients that
+// retry at once, plain clients that retry with a backoff, clients of the library whose workers inject faults,
+// and clients of the library that wait for their connections. Each group has its own fleet of six schedulers,
+// of which four stop and restart during the drill.
 const (
-	clientCount         = 200 // clients in each group
+	clientCount         = 200 // clients in each group but the last
 	clientSchedulers    = 6   // schedulers in the fleet of each group
 	remainingSchedulers = 2   // schedulers of a fleet that run throughout the desk drill
 	workersPerScheduler = 12
@@ -73,11 +74,14 @@
 	immediate *clientRun // plain clients that retry without a wait
 	backoff   *clientRun // plain clients that retry with a backoff
 	faults    *clientRun // clients of the library, with workers that inject faults
+	// connections is the run of clients of the library that have one connection to each scheduler and may repeat
+	// jobs within a window.
+	connections *clientRun
 }
 
 // all returns the runs of the desk drill in the order of the rows of the report.
 func (r *clientRuns) all() []*clientRun {
-	return []*clientRun{r.library, r.immediate, r.backoff, r.faults}
+	return []*clientRun{r.library, r.immediate, r.backoff, r.faults, r.connections}
 }
 
 // close closes the clients and the fleets of the runs that were started.
@@ -99,19 +103,31 @@
 			runs.close()
 		}
 	}()
+	useLibrary := func(r *clientRun) error { return r.useLibrary(r.fleet.Schedulers(), seed) }
 	for i, kind := range []struct {
 		run        **clientRun
 		name       string
+		load       clientLoad
 		faults     bool
 		useClients func(*clientRun) error
 	}{
-		{&runs.library, "library", false, func(r *clientRun) error { return r.useLibrary(seed) }},
-		{&runs.immediate, "at once", false, func(r *clientRun) error { r.useRetryingClients(0); return nil }},
-		{&runs.backoff, "backoff", false, func(r *clientRun) error {
+		{&runs.library, "library", manyClients, false, useLibrary},
+		{&runs.immediate, "at once", manyClients, false, func(r *clientRun) error {
+			r.useRetryingClients(0)
+			return nil
+		}},
+		{&runs.backoff, "backoff", manyClients, false, func(r *clientRun) error {
 			r.useRetryingClients(firstBackoff)
 			return nil
 		}},
-		{&runs.faults, "library, faults", true, func(r *clientRun) error { return r.useLibrary(seed) }},
+		{&runs.faults, "library, faults", manyClients, true, useLibrary},
+		{&runs.connections, "library, few connections", fewConnections, false, func(r *clientRun) error {
+			addrs, err := r.recordWrites()
+			if err != nil {
+				return err
+			}
+			return r.useLibrary(addrs, seed)
+		}},
 	} {
 		fleetFolder := filepath.Join(folder, fmt.Sprint(i))
 		if err := os.Mkdir(fleetFolder, 0o777); err != nil {
@@ -123,7 +139,7 @@
 		if err != nil {
 			return runs, fmt.Errorf("start the schedulers and workers of the run %q: %w", kind.name, err)
 		}
-		*kind.run = newClientRun(kind.name, fleet, duration+timelineMargin)
+		*kind.run = newClientRun(kind.name, kind.load, fleet, duration+timelineMargin)
 		if err := kind.useClients(*kind.run); err != nil {
 			return runs, fmt.Errorf("start the clients of the run %q: %w", kind.name, err)
 		}
@@ -140,8 +156,9 @@
 		return nil, err
 	}
 	defer runs.close()
-	progress("%d clients of each kind submit jobs for %v; %d of %d schedulers stop and restart",
-		clientCount, duration.Round(time.Second), clientSchedulers-remainingSchedulers, clientSchedulers)
+	progress("%d clients of each kind, %d of the last, submit jobs for %v; %d of %d schedulers stop and restart",
+		clientCount, fewConnections.clients, duration.Round(time.Second),
+		clientSchedulers-remainingSchedulers, clientSchedulers)
 	ctx, cancel := context.WithTimeout(context.Background(), duration)
 	defer cancel()
 	startedAt := time.Now()
--- a/internal/testcluster/fleet.go
+++ b/internal/testcluster/fleet.go
@@ -27,9 +27,10 @@
 	// cellByKey holds, by idempotency key, the first worker that may have run a job with the key. Each worker is
 	// the only worker of its cell. The value is "" once the key is counted in crossCell.
 	cellByKey       map[string]string
-	duplicates      int // post-readings that may have run more than once
-	crossCell       int // idempotency keys whose jobs may have run in more than one cell
-	foreignAttempts int // attempts that may have run, of jobs whose name lacks jobPrefix
+	firstRuns       map[string]time.Time // time at which a job may first have run, by idempotency key
+	duplicates      int                  // post-readings that may have run more than once
+	crossCell       int                  // idempotency keys whose jobs may have run in more than one cell
+	foreignAttempts int                  // attempts that may have run, of jobs whose name lacks jobPrefix
 }
 
 // job identifies a job that a client submitted. Retries by the client have other request ids, but the same
@@ -54,7 +55,8 @@
 // what it has started.
 func StartFleet(o FleetOptions) (f *Fleet, err error) {
 	f = &Fleet{jobByID: map[string]job{}, ranAttempts: map[string]bool{}, postReadingRuns: map[string]int{},
-		cellByKey: map[string]string{}, jobPrefix: strconv.FormatUint(rand.Uint64(), 36) + "/"}
+		cellByKey: map[string]string{}, firstRuns: map[string]time.Time{},
+		jobPrefix: strconv.FormatUint(rand.Uint64(), 36) + "/"}
 	defer func() {
 		if err != nil {
 			f.Close()
@@ -131,6 +133,7 @@
 	cell, known := f.cellByKey[submitted.name]
 	if !known {
 		f.cellByKey[submitted.name] = e.Actor
+		f.firstRuns[submitted.name] = time.Now()
 	} else if cell != e.Actor && cell != "" {
 		f.crossCell++
 		f.cellByKey[submitted.name] = ""
@@ -167,6 +170,15 @@
 	return f.postReadingRuns[body]
 }
 
+// FirstRun returns the time at which a job with the idempotency key may first have run, and false if none may
+// have run. The job was sent before that time.
+func (f *Fleet) FirstRun(key string) (at time.Time, ran bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at, ran = f.firstRuns[key]
+	return at, ran
+}
+
 // Schedulers returns the addresses of the schedulers.
 func (f *Fleet) Schedulers() []string {
 	var addrs []string
