Remove workers that a complete list of a replaced watch does not name

Cause: applyDrains applied from the update of a replaced watch only entries that say draining or gone. In a complete list a removal is an absence, which was not looked at.

Change: applyPreviousWatch also removes the workers that such a list does not name. When the present watch has listed the worker as ready, that entry is kept as pending, in whichever order the two arrive, so the worker gets jobs again after MaxStaleness; before, a late drain by the old watch kept it out.

Tests, failing on: TestCompleteListOfReplacedWatchRemovesWorkers (a second reload, with the list in pieces, with a third reload right behind it, and a reload while a watch that was opened again has not answered), and four cases of TestStaleUpdateDoesNotRestoreDrainingWorker.

--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -298,3 +298,78 @@
 	n.Stop()
 	checkEnd(t, done)
 }
+
+// A complete list that a replaced watch still sends removes the workers that it does not name, whichever way
+// the watch was replaced: they must get no attempts, even before the newest discovery service has answered.
+func TestCompleteListOfReplacedWatchRemovesWorkers(t *testing.T) {
+	for name, c := range map[string]struct {
+		replace string // makes the node open the watch of the peer "replaced", and then replaces it
+		split   bool   // the list arrives in two pieces
+		reload  bool   // a further reload, right after the list, ends the replaced watch
+	}{
+		"a second reload": {replace: `
+			discovery expect GET /catalog/members?watch=1&from=4
+			discovery send head
+			node send reload discovery2
+			discovery2 expect GET /catalog/members?watch=1&from=0
+			node send reload discovery3
+			discovery3 expect GET /catalog/members?watch=1&from=0`},
+		"a second reload, and a list in two pieces": {split: true, replace: `
+			discovery expect GET /catalog/members?watch=1&from=4
+			discovery send head
+			node send reload discovery2
+			discovery2 expect GET /catalog/members?watch=1&from=0
+			node send reload discovery3
+			discovery3 expect GET /catalog/members?watch=1&from=0`},
+		"a second reload, and a third one right after the list": {reload: true, replace: `
+			discovery expect GET /catalog/members?watch=1&from=4
+			discovery send head
+			node send reload discovery2
+			discovery2 expect GET /catalog/members?watch=1&from=0
+			node send reload discovery3
+			discovery3 expect GET /catalog/members?watch=1&from=0`},
+		"a reload while a watch that was opened again has not answered": {replace: `
+			discovery expect GET /catalog/members?watch=1&from=4
+			discovery close
+			discovery expect end
+			discovery expect GET /catalog/members?watch=1&from=4
+			node send reload discovery3
+			discovery3 expect GET /catalog/members?watch=1&from=0`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			set := parseTestSettings(t) // The long times set below keep timers from firing during the scenario.
+			set.Dispatch.PollInterval, set.Dispatch.MaxStaleness = 3600*second, 3600*second
+			w := newHarnessWithSettings(t, set, 0, "r1", "r2")
+			w.serve(t, "discovery2")
+			w.serve(t, "discovery3")
+			runScenario(t, w, c.replace)
+			w.node.onLoop(func() { w.node.extendValidity(t, time.Hour) })
+			replaced := "discovery2"
+			if !strings.Contains(c.replace, replaced) {
+				replaced = "discovery"
+			}
+			addr := w.peers["r2"].listener.Addr().String()
+			list := `{"rev":50,"all":true,"targets":[` + workerLine("r2", addr) + `]}/n`
+			runScenario(t, w, replaced+" send head")
+			if c.split {
+				middle := len(list) / 2
+				runScenario(t, w, replaced+" send "+list[:middle])
+				runScenario(t, w, replaced+" send "+list[middle:])
+			} else {
+				runScenario(t, w, replaced+" send "+list)
+			}
+			if c.reload {
+				runScenario(t, w, "node send reload discovery")
+			}
+			isDraining := func() bool {
+				return errors.Is(w.node.freshness.allowSend("r1", w.node.now()), errWorkerDraining)
+			}
+			if !eventually(isDraining) {
+				t.Fatal("allowSend did not report r1 as draining, want it removed by the list of the replaced watch")
+			}
+			runScenario(t, w, `
+				c1 send job post a1 || work
+				r2 expect POST /post/7?a=b txn=a1 key=k body=work`)
+		})
+	}
+}
--- a/internal/scheduler/endpoints.go
+++ b/internal/scheduler/endpoints.go
@@ -13,7 +13,7 @@
 // handleEndpoints applies an update of the worker list.
 func (s *Scheduler) handleEndpoints(e *EndpointsUpdated) {
 	if e.FromPreviousWatch {
-		s.applyDrains(e.List)
+		s.applyPreviousWatch(e.List)
 		return
 	}
 	asOf := e.AsOf
@@ -56,31 +56,70 @@
 	return s.now - validUntil + s.settings.Dispatch.MaxStaleness
 }
 
-// applyDrains marks the workers that an update lists as draining or removed. It is used for updates of a
-// discovery service that a reload has replaced; everything else in such an update is ignored.
-func (s *Scheduler) applyDrains(list WorkerList) {
-	var entries []dispatch.WorkerEntry
+// applyPreviousWatch applies an update of a watch that has been replaced. What discovery has written to such
+// a watch has taken effect, so workers that drain or are removed by the update get no new attempts: those
+// that the update lists as draining or removed, and those that are missing from a complete list. Workers that
+// the update lists as ready are left as they are, as the watch may be outdated.
+func (s *Scheduler) applyPreviousWatch(list WorkerList) {
 	var changed []*worker
+	named := make(map[string]bool, len(list.Workers))
 	for _, listed := range list.Workers {
+		named[listed.UID] = true
 		w := s.workers[listed.UID]
-		if w == nil || listed.Status == dispatch.Ready {
-			continue
+		if w != nil && listed.Status != dispatch.Ready && s.stopByPreviousWatch(w, listed.Status) {
+			changed = append(changed, w)
 		}
-		w.pendingUpdate = nil
-		if w.drainingSince == 0 {
-			// The revision of this update, which the replaced discovery service gave it, is not comparable with
-			// revisions of the new service. No other version has the epoch -1, so no version counts as newer than this
-			// one.
-			w.Status, w.version = listed.Status, version{epoch: -1}
-			entries = append(entries, s.workerEntry(w))
+	}
+	if list.Complete {
+		changed = append(changed, s.removeMissing(named)...)
+	}
+	if len(changed) == 0 {
+		return
+	}
+	entries := make([]dispatch.WorkerEntry, 0, len(changed))
+	for _, w := range changed {
+		entries = append(entries, s.workerEntry(w))
+	}
+	s.recordTransitions(changed)
+	s.stepDispatcher(dispatch.Event{Kind: dispatch.EndpointsUpdated, Scope: dispatch.UpdateDrains,
+		Workers: entries})
+}
+
+// removeMissing removes the workers that a complete list of a replaced watch does not name. It returns the
+// workers that were ready before, ordered by UID.
+func (s *Scheduler) removeMissing(named map[string]bool) (changed []*worker) {
+	for uid, w := range s.workers {
+		if !named[uid] && s.stopByPreviousWatch(w, dispatch.Removed) {
 			changed = append(changed, w)
 		}
 	}
-	if len(entries) > 0 {
-		s.recordTransitions(changed)
-		s.stepDispatcher(dispatch.Event{Kind: dispatch.EndpointsUpdated, Scope: dispatch.UpdateDrains,
-			Workers: entries})
+	slices.SortFunc(changed, compareUID)
+	return changed
+}
+
+// stopByPreviousWatch sets the status of a worker that a replaced watch reports as draining or removed, and
+// reports whether the worker was ready before.
+//
+// If the present watch has listed the worker as ready, it is unknown which of the two reports is newer. The
+// present one is then kept as pendingUpdate, as it would be if it had arrived last. A report of an earlier
+// watch is dropped.
+func (s *Scheduler) stopByPreviousWatch(w *worker, status dispatch.Status) (stopped bool) {
+	if !s.watchOpen {
+		w.pendingUpdate = nil
+	}
+	if w.Status != dispatch.Ready {
+		return false
+	}
+	if s.watchOpen {
+		listed := w.Worker
+		w.pendingUpdate = &listed
+		s.pendingWorkers = append(s.pendingWorkers, w)
 	}
+	// The revision of this update, which the replaced discovery service gave it, is not comparable with
+	// revisions of the new service. No other version has the epoch -1, so no version counts as newer than this
+	// one.
+	w.Status, w.version = status, version{epoch: -1}
+	return true
 }
 
 // applyUpdate applies an update of the current discovery service, or the cached list at the start. With the
--- a/internal/scheduler/endpoints_test.go
+++ b/internal/scheduler/endpoints_test.go
@@ -19,6 +19,7 @@
 	}
 	reloaded, drained := Reloaded{Discovery: "d2"}, update(9, false, draining)
 	previous := EndpointsUpdated{List: WorkerList{9, false, []Worker{draining}}, FromPreviousWatch: true}
+	previousList := EndpointsUpdated{List: WorkerList{50, true, []Worker{other}}, FromPreviousWatch: true}
 	for name, c := range map[string]struct {
 		events []Event
 		ready  bool // whether worker r1 is ready right after the events
@@ -42,6 +43,18 @@
 			update(12, true, ready, other), update(13, true, other)}, false, false},
 		"pending, and drained by the previous discovery": {[]Event{drained, reloaded, update(3, true, ready),
 			reloaded, previous}, false, false},
+		"missing from the previous discovery's list, and listed by the new one": {[]Event{reloaded,
+			previousList, update(12, true, ready, other)}, false, true},
+		"the same in the other order": {[]Event{reloaded, update(12, true, ready, other),
+			previousList}, false, true},
+		"the same twice": {[]Event{reloaded, update(12, true, ready, other), previousList,
+			previousList}, false, true},
+		"drained by the previous discovery after the new one's list": {[]Event{reloaded,
+			update(12, true, ready, other), previous}, false, true},
+		"missing from the previous discovery's list, and from the new one's": {[]Event{reloaded, previousList,
+			update(12, true, other)}, false, false},
+		"missing from the previous discovery's list, and restarted": {[]Event{reloaded, previousList,
+			update(12, true, restarted, other)}, true, true},
 		"an older drain after a newer ready": {[]Event{update(9, false, ready),
 			update(8, false, draining)}, false, false},
 	} {
--- a/internal/scheduler/events.go
+++ b/internal/scheduler/events.go
@@ -74,8 +74,9 @@
 		// AsOf is the time up to which the worker list is complete with this update; 0 stands for the time
 		// of the event.
 		AsOf Micros
-		// FromPreviousWatch is set if the update comes from a discovery service that a reload has since
-		// replaced. The reducer applies only the drains and removals of such an update.
+		// FromPreviousWatch is set if the update comes from a watch that has been replaced, as a reload does. The
+		// reducer applies only the drains and removals of such an update. A worker that is missing from a complete
+		// list has been removed.
 		FromPreviousWatch bool
 	}
 	// WatchClosed reports that the watch of the worker list ended or could not be opened.
--- a/internal/scheduler/update_reference_test.go
+++ b/internal/scheduler/update_reference_test.go
@@ -25,7 +25,7 @@
 	switch e := e.(type) {
 	case EndpointsUpdated:
 		if e.FromPreviousWatch {
-			s.applyDrainsReference(e.List)
+			s.applyPreviousWatchReference(e.List)
 			break
 		}
 		s.watchOpen, s.listAsOf = true, now
@@ -42,17 +42,39 @@
 	return s.effects
 }
 
-func (s *Scheduler) applyDrainsReference(list WorkerList) {
+// applyPreviousWatchReference applies an update of a replaced watch by the rules of the operators' pages:
+// what discovery has written has taken effect, and a worker that is missing from a complete list has been
+// removed.
+func (s *Scheduler) applyPreviousWatchReference(list WorkerList) {
+	leaving := slices.DeleteFunc(slices.Clone(list.Workers), func(listed Worker) bool {
+		return listed.Status == dispatch.Ready
+	})
+	if list.Complete {
+		for _, w := range sortedValues(s.workers) {
+			isNamed := func(listed Worker) bool { return listed.UID == w.UID }
+			if !slices.ContainsFunc(list.Workers, isNamed) {
+				leaving = append(leaving, Worker{UID: w.UID, Status: dispatch.Removed})
+			}
+		}
+	}
 	e := dispatch.Event{Kind: dispatch.EndpointsUpdated, Scope: dispatch.UpdateDrains}
-	for _, listed := range list.Workers {
+	for _, listed := range leaving {
 		w := s.workers[listed.UID]
-		if w == nil || listed.Status == dispatch.Ready {
+		if w == nil {
 			continue
 		}
-		if w.pendingUpdate = nil; w.drainingSince == 0 {
-			w.Status, w.version = listed.Status, version{epoch: -1}
-			e.Workers = append(e.Workers, s.workerEntry(w))
+		if !s.watchOpen {
+			w.pendingUpdate = nil
+		}
+		if w.Status != dispatch.Ready {
+			continue
 		}
+		if s.watchOpen { // the present watch has listed the worker as ready, which may be the newer report
+			ready := w.Worker
+			w.pendingUpdate = &ready
+		}
+		w.Status, w.version = listed.Status, version{epoch: -1}
+		e.Workers = append(e.Workers, s.workerEntry(w))
 	}
 	if len(e.Workers) > 0 {
 		s.recordTransitionsReference()
