--- a/client/attempt.go
+++ b/client/attempt.go
@@ -76,10 +76,10 @@
 var errWriteDeadline = fmt.Errorf("no connection by the write deadline of the attempt: %w",
 	context.DeadlineExceeded)
 
-// checkWriteAllowed is the last check before the request of an attempt is written. The attempt may have waited
-// for its connection since the plan allowed it, so checkWriteAllowed looks again at everything that ends with
-// time: the caller's context, the write deadline, and the deadline of the context in whole milliseconds, which
-// is what the request states.
+// checkWriteAllowed is the last check before the request of an attempt is written. The attempt may have
+// waited for its connection since the plan allowed it, so checkWriteAllowed looks again at everything that
+// ends with time: the caller's context, the write deadline, and the deadline of the context in whole
+// milliseconds, which is what the request states.
 func checkWriteAllowed(ctx context.Context, now, writeDeadline time.Time) error {
 	if err := ctx.Err(); err != nil {
 		return err
--- a/client/internal/plan/model_test.go
+++ b/client/internal/plan/model_test.go
@@ -361,8 +361,8 @@
 	}
 }
 
-// TestLateWritesAreFound checks that the model checker finds a violation if the client writes an attempt after
-// the write deadline that the plan gave it.
+// TestLateWritesAreFound checks that the model checker finds a violation if the client writes an attempt
+// after the write deadline that the plan gave it.
 func TestLateWritesAreFound(t *testing.T) {
 	m := newClientModel(anywhereClass, 1)
 	m.writesLate = true
--- a/client/internal/plan/plan.go
+++ b/client/internal/plan/plan.go
@@ -86,7 +86,8 @@
 // Start earlier, once Plan.Available is no longer zero.
 //
 // An attempt may wait for its connection after it has started. The caller must not write the request of an
-// attempt at or after WriteDeadline, and reports an attempt that it did not write as ClientLimited or NotSent.
+// attempt at or after WriteDeadline, and reports an attempt that it did not write as ClientLimited or
+// NotSent.
 type Step struct {
 	Verdict   Verdict
 	StartNow  bool
--- a/client/pool.go
+++ b/client/pool.go
@@ -57,8 +57,8 @@
 	connectBurstDivisor = 5
 )
 
-// clientLimitError reports that the client's own limits on connections did not allow a connection by the write
-// deadline of an attempt.
+// clientLimitError reports that the client's own limits on connections did not allow a connection by the
+// write deadline of an attempt.
 type clientLimitError struct{ error }
 
 // Unwrap returns the error with which the wait for a connection ended.
--- a/client/write_deadline_test.go
+++ b/client/write_deadline_test.go
@@ -191,7 +191,8 @@
 // smallBuffer is the size of a socket buffer that holds only a part of a job of MaxBodyBytes, in bytes.
 const smallBuffer = 4 << 10
 
-// listenWithSmallBuffers returns a listener on a free local port whose connections have small receive buffers.
+// listenWithSmallBuffers returns a listener on a free local port whose connections have small receive
+// buffers.
 func listenWithSmallBuffers(t *testing.T) net.Listener {
 	t.Helper()
 	config := net.ListenConfig{Control: func(_, _ string, raw syscall.RawConn) error {
--- a/cmd/schedbench/clientrun.go
+++ b/cmd/schedbench/clientrun.go
@@ -23,7 +23,8 @@
 var clientClasses = []clientClass{{"post-reading", time.Second, 2 * time.Second, client.Once},
 	{"district-batch", 2 * time.Second, 4 * time.Second, client.Rack}}
 
-// repeatableClasses are the classes of the clients that may repeat jobs at any scheduler, within repeatWindow.
+// repeatableClasses are the classes of the clients that may repeat jobs at any scheduler, within
+// repeatWindow.
 var repeatableClasses = []clientClass{
 	{"district-batch", 2 * time.Second, 4 * time.Second, client.Anywhere},
 }
