Find the workers missing from a replaced watch's list as other updates do

applyPreviousWatch built a set of names for every update, heartbeats too. It marks the named workers by updateCount now, like applyUpdate, and allocates nothing for an update that changes nothing. setPendingUpdate serves both mergeWorker and stopByPreviousWatch, which kept a pending update alike.

--- a/internal/scheduler/endpoints.go
+++ b/internal/scheduler/endpoints.go
@@ -62,16 +62,19 @@
 // the update lists as ready are left as they are, as the watch may be outdated.
 func (s *Scheduler) applyPreviousWatch(list WorkerList) {
 	var changed []*worker
-	named := make(map[string]bool, len(list.Workers))
+	s.updateCount++
 	for _, listed := range list.Workers {
-		named[listed.UID] = true
 		w := s.workers[listed.UID]
-		if w != nil && listed.Status != dispatch.Ready && s.stopByPreviousWatch(w, listed.Status) {
+		if w == nil {
+			continue
+		}
+		w.lastUpdate = s.updateCount
+		if listed.Status != dispatch.Ready && s.stopByPreviousWatch(w, listed.Status) {
 			changed = append(changed, w)
 		}
 	}
 	if list.Complete {
-		changed = append(changed, s.removeMissing(named)...)
+		changed = append(changed, s.removeMissing()...)
 	}
 	if len(changed) == 0 {
 		return
@@ -85,11 +88,11 @@
 		Workers: entries})
 }
 
-// removeMissing removes the workers that a complete list of a replaced watch does not name. It returns the
-// workers that were ready before, ordered by UID.
-func (s *Scheduler) removeMissing(named map[string]bool) (changed []*worker) {
-	for uid, w := range s.workers {
-		if !named[uid] && s.stopByPreviousWatch(w, dispatch.Removed) {
+// removeMissing removes the workers that the present update, a complete list of a replaced watch, does not
+// name. It returns the workers that were ready before, ordered by UID.
+func (s *Scheduler) removeMissing() (changed []*worker) {
+	for _, w := range s.workers {
+		if w.lastUpdate != s.updateCount && s.stopByPreviousWatch(w, dispatch.Removed) {
 			changed = append(changed, w)
 		}
 	}
@@ -111,9 +114,7 @@
 		return false
 	}
 	if s.watchOpen {
-		listed := w.Worker
-		w.pendingUpdate = &listed
-		s.pendingWorkers = append(s.pendingWorkers, w)
+		s.setPendingUpdate(w, w.Worker)
 	}
 	// The revision of this update, which the replaced discovery service gave it, is not comparable with
 	// revisions of the new service. No other version has the epoch -1, so no version counts as newer than this
--- a/internal/scheduler/workers.go
+++ b/internal/scheduler/workers.go
@@ -65,15 +65,21 @@
 	case ready && w.version.newer(updateVersion):
 	case ready && w.drainingSince != 0 && listed.Started <= w.Started && !updateVersion.newer(w.version) &&
 		s.now-w.drainingSince < s.settings.Dispatch.MaxStaleness:
-		if w.pendingUpdate == nil {
-			s.pendingWorkers = append(s.pendingWorkers, w)
-		}
-		w.pendingUpdate = &listed
+		s.setPendingUpdate(w, listed)
 	default:
 		w.Worker, w.version, w.pendingUpdate = listed, updateVersion, nil
 	}
 }
 
+// setPendingUpdate keeps an update that lists a worker as ready, to be applied once MaxStaleness has passed
+// since the worker's drain or removal.
+func (s *Scheduler) setPendingUpdate(w *worker, ready Worker) {
+	if w.pendingUpdate == nil {
+		s.pendingWorkers = append(s.pendingWorkers, w)
+	}
+	w.pendingUpdate = &ready
+}
+
 // workerEntry returns a worker in the form that the dispatcher uses.
 func (s *Scheduler) workerEntry(w *worker) dispatch.WorkerEntry {
 	return dispatch.WorkerEntry{Worker: w.number, Zone: s.zones.indexOf(w.Zone), Cell: w.Cell,
