State the script of a second reload once in the test of replaced watches

Three cases of TestCompleteListOfReplacedWatchRemovesWorkers repeated it, and the replaced watch's peer was guessed from the script. Each case names its peer; scripts and assertions are the same. The test passes.

--- a/internal/node/watch_test.go
+++ b/internal/node/watch_test.go
@@ -302,39 +302,35 @@
 // A complete list that a replaced watch still sends removes the workers that it does not name, whichever way
 // the watch was replaced: they must get no attempts, even before the newest discovery service has answered.
 func TestCompleteListOfReplacedWatchRemovesWorkers(t *testing.T) {
-	for name, c := range map[string]struct {
-		replace string // makes the node open the watch of the peer "replaced", and then replaces it
-		split   bool   // the list arrives in two pieces
-		reload  bool   // a further reload, right after the list, ends the replaced watch
-	}{
-		"a second reload": {replace: `
-			discovery expect GET /catalog/members?watch=1&from=4
-			discovery send head
-			node send reload discovery2
-			discovery2 expect GET /catalog/members?watch=1&from=0
-			node send reload discovery3
-			discovery3 expect GET /catalog/members?watch=1&from=0`},
-		"a second reload, and a list in two pieces": {split: true, replace: `
+	const (
+		secondReload = `
 			discovery expect GET /catalog/members?watch=1&from=4
 			discovery send head
 			node send reload discovery2
 			discovery2 expect GET /catalog/members?watch=1&from=0
 			node send reload discovery3
-			discovery3 expect GET /catalog/members?watch=1&from=0`},
-		"a second reload, and a third one right after the list": {reload: true, replace: `
-			discovery expect GET /catalog/members?watch=1&from=4
-			discovery send head
-			node send reload discovery2
-			discovery2 expect GET /catalog/members?watch=1&from=0
-			node send reload discovery3
-			discovery3 expect GET /catalog/members?watch=1&from=0`},
-		"a reload while a watch that was opened again has not answered": {replace: `
+			discovery3 expect GET /catalog/members?watch=1&from=0`
+		reloadAfterReopening = `
 			discovery expect GET /catalog/members?watch=1&from=4
 			discovery close
 			discovery expect end
 			discovery expect GET /catalog/members?watch=1&from=4
 			node send reload discovery3
-			discovery3 expect GET /catalog/members?watch=1&from=0`},
+			discovery3 expect GET /catalog/members?watch=1&from=0`
+	)
+	for name, c := range map[string]struct {
+		replace  string // script that makes the node open a watch and then replaces that watch
+		replaced string // peer of the replaced watch
+		split    bool   // the list arrives in two pieces
+		reload   bool   // a further reload, right after the list, ends the replaced watch
+	}{
+		"a second reload": {replace: secondReload, replaced: "discovery2"},
+		"a second reload, and a list in two pieces": {replace: secondReload, replaced: "discovery2",
+			split: true},
+		"a second reload, and a third one right after the list": {replace: secondReload,
+			replaced: "discovery2", reload: true},
+		"a reload while a watch that was opened again has not answered": {replace: reloadAfterReopening,
+			replaced: "discovery"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			set := parseTestSettings(t) // The long times set below keep timers from firing during the scenario.
@@ -344,19 +340,15 @@
 			w.serve(t, "discovery3")
 			runScenario(t, w, c.replace)
 			w.node.onLoop(func() { w.node.extendValidity(t, time.Hour) })
-			replaced := "discovery2"
-			if !strings.Contains(c.replace, replaced) {
-				replaced = "discovery"
-			}
 			addr := w.peers["r2"].listener.Addr().String()
 			list := `{"rev":50,"all":true,"targets":[` + workerLine("r2", addr) + `]}/n`
-			runScenario(t, w, replaced+" send head")
+			runScenario(t, w, c.replaced+" send head")
 			if c.split {
 				middle := len(list) / 2
-				runScenario(t, w, replaced+" send "+list[:middle])
-				runScenario(t, w, replaced+" send "+list[middle:])
+				runScenario(t, w, c.replaced+" send "+list[:middle])
+				runScenario(t, w, c.replaced+" send "+list[middle:])
 			} else {
-				runScenario(t, w, replaced+" send "+list)
+				runScenario(t, w, c.replaced+" send "+list)
 			}
 			if c.reload {
 				runScenario(t, w, "node send reload discovery")
