--- a/client/internal/plan/model_test.go
+++ b/client/internal/plan/model_test.go
@@ -37,14 +37,16 @@
 	step      Step
 	waited    bool // the current attempt has waited for its connection
 	attempts  int
-	received  bool      // a scheduler has received the current attempt
-	sentAt    time.Time // time at which the current attempt was received; zero before that
+	sentAt    time.Time // time at which a scheduler received the current attempt; zero before that
 	runs      int
 	firstSent time.Time // time at which the attempt was sent in which the job first ran; zero if it has not run
 	ranOnRack [2]bool   // for each scheduler, whether the job ran in the scheduler's rack
 	violation string
 }
 
+// received reports whether a scheduler has received the current attempt.
+func (s *jobState) received() bool { return !s.sentAt.IsZero() }
+
 // maxFaults is the maximum number of events marked as faults, such as a lost response, in each explored order
 // of events of a model with one job.
 const maxFaults = 4
@@ -136,7 +138,7 @@
 		case state.step.Verdict != Pending:
 		case !state.step.StartNow:
 			add(event{job: i, name: "its wait ends"})
-		case state.received:
+		case state.received():
 			for _, e := range endsAfterReceived {
 				e.job = i
 				add(e)
@@ -195,21 +197,21 @@
 		m.recordStep(state, m.plan.Start(m.now, state.job))
 	case "its caller cancels":
 		m.plan.Cancel(state.job)
-		state.step, state.received, state.sentAt = Step{Verdict: Unknown}, false, time.Time{}
+		state.step, state.sentAt = Step{Verdict: Unknown}, time.Time{}
 	case "waits for its connection":
 		m.now = m.now.Add(connectionWait)
 		state.waited = true
 	case "is read":
-		state.received, state.sentAt = true, m.now
+		state.sentAt = m.now
 	default:
 		sentAt := state.sentAt
-		if !state.received {
+		if !state.received() {
 			sentAt = m.now // if anything was sent, the first byte was sent now
 		}
-		if state.received && (e.result.Outcome != Answered || e.result.Status == 200 || e.result.Status == 500) {
+		if state.received() && (e.result.Outcome != Answered || e.result.Status == 200 || e.result.Status == 500) {
 			m.run(state)
 		}
-		state.received, state.sentAt = false, time.Time{}
+		state.sentAt = time.Time{}
 		m.now = m.now.Add(10*time.Millisecond + e.delay)
 		if m.misread != nil {
 			e.result.Outcome = m.misread(e.result.Outcome)
@@ -315,7 +317,6 @@
 	for i := range m.jobs {
 		state := &m.jobs[i]
 		flag(state.submitted)
-		flag(state.received)
 		num(int64(state.runs))
 		flag(state.waited)
 		at(state.firstSent)
