Build the recorder of client writes on the listener that the fakes share

testcluster.WriteRecorder had an accept loop, a set of connections and a close of its own; internal/fakes has these as server, for its workers and its discovery. The recorder stands there now, and its test with it, with the same assertions.

--- a/cmd/schedbench/clientrun.go
+++ b/cmd/schedbench/clientrun.go
@@ -50,6 +50,8 @@
 	repeatWindow = 300 * time.Millisecond
 	// windowSlack is what the protocol adds to each time limit on sockets.
 	windowSlack = 50 * time.Millisecond
+	// recorderAddr makes the system choose a free loopback port for a recorder.
+	recorderAddr = "127.0.0.1:0"
 )
 
 // The verdicts of jobs of plain clients, which do not use the client library. Clients of the library report
@@ -66,7 +68,7 @@
 	load  clientLoad
 	fleet *testcluster.Fleet
 	// recorders stand before the schedulers of the fleet if the run judges when its clients write repeats.
-	recorders []*testcluster.WriteRecorder
+	recorders []*fakes.WriteRecorder
 	// submit submits a job through the client with the given index. It returns the verdict of the job.
 	submit       func(client int, s fakes.Submission) (verdict string)
 	closeClients func()
@@ -122,7 +124,7 @@
 // clients have to use for the schedulers of the fleet.
 func (r *clientRun) recordWrites() (addrs []string, err error) {
 	for _, scheduler := range r.fleet.Schedulers() {
-		recorder, err := testcluster.NewWriteRecorder(scheduler)
+		recorder, err := fakes.NewWriteRecorder(recorderAddr, scheduler)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/fakes/server.go
+++ b/internal/fakes/server.go
@@ -1,6 +1,7 @@
-// Package fakes has fake workers, a fake discovery service and fake clients for running a scheduler in tests,
-// in fault drills and by hand. They speak the real protocol, inject the faults that their scripts ask for,
-// and record the events that they observe. They listen on loopback addresses only.
+// Package fakes has fake workers, a fake discovery service, fake clients and a recorder of what clients
+// write, for running a scheduler in tests, in fault drills and by hand. They speak the real protocol, inject
+// the faults that their scripts ask for, and record the events that they observe. They listen on loopback
+// addresses only.
 package fakes
 
 import (
--- a/internal/fakes/write_recorder.go
+++ b/internal/fakes/write_recorder.go
@@ -1,9 +1,9 @@
-package testcluster
+package fakes
 
 import (
-	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,13 +14,11 @@
 // with an idempotency key. It stands between the two so that the judgement of a client rests on what the
 // client wrote, and not on what the client reports.
 type WriteRecorder struct {
-	listener  net.Listener
+	server
 	scheduler string
-	relays    sync.WaitGroup
 
-	mu     sync.Mutex
-	writes []KeyedWrite
-	open   map[net.Conn]bool // the clients' ends of the open connections; nil once the recorder is closed
+	writesMu sync.Mutex // guards writes
+	writes   []KeyedWrite
 }
 
 // KeyedWrite is a request with an idempotency key that a client has written completely.
@@ -29,75 +27,41 @@
 	At  time.Time // time at which the last byte of the request was read from the client
 }
 
-// NewWriteRecorder returns a WriteRecorder for the scheduler at an address. It listens on a free local port.
-func NewWriteRecorder(scheduler string) (*WriteRecorder, error) {
-	l, err := net.Listen("tcp", anyPortAddr)
-	if err != nil {
+// NewWriteRecorder returns a WriteRecorder that listens at an address, for the scheduler at another address.
+func NewWriteRecorder(addr, scheduler string) (*WriteRecorder, error) {
+	r := &WriteRecorder{scheduler: scheduler}
+	if err := r.listen(addr, r.relay); err != nil {
 		return nil, err
 	}
-	r := &WriteRecorder{listener: l, scheduler: scheduler, open: map[net.Conn]bool{}}
-	r.relays.Go(r.accept)
 	return r, nil
 }
 
 // Addr returns the address to which clients connect instead of the scheduler's.
-func (r *WriteRecorder) Addr() string { return r.listener.Addr().String() }
+func (r *WriteRecorder) Addr() string { return r.addr() }
 
-// Writes returns the recorded requests of each connection in their order.
-func (r *WriteRecorder) Writes() []KeyedWrite {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return append([]KeyedWrite(nil), r.writes...)
-}
-
-// Close closes all connections.
-func (r *WriteRecorder) Close() {
-	_ = r.listener.Close() // an error means that the listener is closed already
-	r.mu.Lock()
-	for client := range r.open {
-		_ = client.Close()
-	}
-	r.open = nil
-	r.mu.Unlock()
-	r.relays.Wait()
-}
+// Close closes the listener and all connections.
+func (r *WriteRecorder) Close() { r.close() }
 
-func (r *WriteRecorder) accept() {
-	for {
-		client, err := r.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
-			return
-		}
-		if err == nil && r.track(client) {
-			r.relays.Go(func() { r.relay(client) })
-		}
-	}
-}
-
-// track registers a client's connection, or closes it if the recorder is closed.
-func (r *WriteRecorder) track(client net.Conn) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.open == nil {
-		_ = client.Close()
-		return false
-	}
-	r.open[client] = true
-	return true
+// Writes returns the recorded requests, those of each connection in their order.
+func (r *WriteRecorder) Writes() []KeyedWrite {
+	r.writesMu.Lock()
+	defer r.writesMu.Unlock()
+	return slices.Clone(r.writes)
 }
 
 // relay forwards a connection until one of its ends closes it. If the scheduler accepts no connection, relay
-// closes that of the client.
+// returns at once.
 func (r *WriteRecorder) relay(client net.Conn) {
-	defer r.release(client)
 	scheduler, err := net.Dial("tcp", r.scheduler)
 	if err != nil {
 		return
 	}
-	r.relays.Go(func() {
+	var responses sync.WaitGroup
+	responses.Go(func() {
 		_, _ = io.Copy(client, scheduler) // an error is expected: either end may close the connection
 		_ = client.Close()
 	})
+	defer responses.Wait()
 	defer scheduler.Close()
 	// The reader reads each byte from the client and forwards it to the scheduler.
 	requests := http1.NewReader(io.TeeReader(client, scheduler))
@@ -110,18 +74,11 @@
 	}
 }
 
-func (r *WriteRecorder) release(client net.Conn) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	delete(r.open, client)
-	_ = client.Close()
-}
-
 func (r *WriteRecorder) record(key string) {
 	if key == "" {
 		return
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
+	r.writesMu.Lock()
+	defer r.writesMu.Unlock()
 	r.writes = append(r.writes, KeyedWrite{Key: key, At: time.Now()})
 }
--- a/internal/fakes/write_recorder_test.go
+++ b/internal/fakes/write_recorder_test.go
@@ -1,4 +1,4 @@
-package testcluster
+package fakes
 
 import (
 	"io"
@@ -19,7 +19,7 @@
 		_, _ = w.Write(body)
 	}))
 	defer scheduler.Close()
-	recorder, err := NewWriteRecorder(scheduler.Listener.Addr().String())
+	recorder, err := NewWriteRecorder("127.0.0.1:0", scheduler.Listener.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
